Leave the decision on limits to hosts that have run for longer

The test that plays the load found a second fault: a host and its mate saw the change of hands up to 1.2 s apart and decided side by side, 562 and 572 operations in a window that allows 537. Ruled out: an account that starts with more tokens (three changes of hands in a window exceed the limit). Change: reports say how long a host has run, so that all see the change of hands at one moment; a host is passed over until it has run 2.6 s, unless all have started together; a host reports as soon as it is registered.

--- a/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
+++ b/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
@@ -49,6 +49,8 @@
 };
 
 export const GROUP = 'group-1';
+export const TEAM = 'team-1';
+export const TEAM_LIMIT = {ratePerSecond: 90, burst: 20};
 export const CONTRACTS_TABLE = 'contracts';
 export const REGISTRATIONS_TABLE = 'registrations';
 export const STORE_LATENCY_MS = 10;
@@ -175,7 +177,7 @@
 			minDutyMs: 0,
 			contracts: {
 				table: CONTRACTS_TABLE, key: 'config', parse: text => ({
-					version: Number(text), routes: new Map(), groups: new Map(), teams: new Map(), teamsByKey: new Map(), idleTransactionMs: 1000,
+					version: Number(text), routes: new Map(), groups: new Map(), teams: new Map([[TEAM, {team: TEAM, ...TEAM_LIMIT}]]), teamsByKey: new Map(), idleTransactionMs: 1000,
 				}),
 			},
 			registrations: {table: REGISTRATIONS_TABLE, parse: ({value}) => value === undefined ? undefined : JSON.parse(value) as Upstream},
--- a/packages/heatherpond-fleet/src/__tests__/unit/domain-reader.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/domain-reader.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, test} from '@jest/globals';
 import {createFakeClock} from 'heatherpond-core';
 import {
-	createDomainStore, createMemoryStore, createTableCache, findReader, type HostIdentity, type HostRecord, type TableNews, type TablePage,
+	createDomainStore, createMemoryStore, createTableCache, findReader, type DomainMate, type HostIdentity, type TableNews, type TablePage,
 } from '../../index.js';
 import {advance} from '../support/steps.js';
 import {
@@ -12,8 +12,10 @@
 	host: 'host-2', incarnation: 'run', domain: 'd', address: 'a', port: 1,
 };
 
-function createMate(host: string): HostRecord {
-	return {...IDENTITY, host, refreshedAt: 0};
+function createMate(host: string, startedAt = 0): DomainMate {
+	return {
+		...IDENTITY, host, refreshedAt: 0, startedAt,
+	};
 }
 
 function createNews(change: Partial<TablePage>, askedAt: number, isWhole = false): TableNews {
@@ -52,8 +54,22 @@
 
 describe('the reader of a failure domain', () => {
 	test('is the first by name among those that are heard', () => {
-		expect(findReader(IDENTITY, [createMate('host-3'), createMate('host-1')])?.host).toBe('host-1');
-		expect(findReader(IDENTITY, [createMate('host-3')])).toBeUndefined();
+		const own = {...IDENTITY, startedAt: 0};
+		expect(findReader(own, [createMate('host-3'), createMate('host-1')], 9000)?.host).toBe('host-1');
+		expect(findReader(own, [createMate('host-3')], 9000)).toBeUndefined();
+	});
+
+	test('is none that has just started, as long as another has run for longer', () => {
+		const own = {...IDENTITY, startedAt: 0};
+		expect(findReader(own, [createMate('host-1', 8000), createMate('host-3')], 9000)).toBeUndefined();
+		expect(findReader({...own, startedAt: 8000}, [createMate('host-3')], 9000)?.host).toBe('host-3');
+		expect(findReader(own, [createMate('host-1', 8000), createMate('host-3')], 10_600)?.host).toBe('host-1');
+	});
+
+	test('is the first by name when all have started together', () => {
+		const own = {...IDENTITY, startedAt: 8700};
+		expect(findReader(own, [createMate('host-1', 9000), createMate('host-3', 8600)], 9100)?.host).toBe('host-1');
+		expect(findReader(own, [createMate('host-3', 9000)], 9100)).toBeUndefined();
 	});
 
 	test('is asked first, and the store when it does not answer', async () => {
@@ -63,7 +79,7 @@
 			rows: [], version: 9, storeNow: 0, ageMs: 300,
 		}, undefined];
 		const port = createDomainStore({
-			store: store.createPort('host-2'), clock, identity: IDENTITY, readMates: () => [createMate('host-1')], ask: async () => answers.shift(),
+			store: store.createPort('host-2'), clock, findReader: () => createMate('host-1'), ask: async () => answers.shift(),
 		});
 		expect(await port.readChanges('t', 1, 1000)).toMatchObject({version: 9, ageMs: 300});
 		const direct = port.readChanges('t', 1, 1000);
--- a/packages/heatherpond-fleet/src/fleet-followers.ts
+++ b/packages/heatherpond-fleet/src/fleet-followers.ts
@@ -1,9 +1,9 @@
 /** Follows the tables of the store that a host knows the fleet by, and applies their news to the blackboard. */
 import {applyFleetNews} from './apply-fleet-news.js';
 import {applyUpstreamNews, EMPTY_UPSTREAM_VIEW, removeMissing} from './apply-upstream-news.js';
-import {findReader} from './domain-reader.js';
+import type {FindReader} from './domain-reader.js';
 import type {FleetHostOptions} from './fleet-host.js';
-import {FLEET_TABLE, type HostRecord} from './fleet-records.js';
+import {FLEET_TABLE} from './fleet-records.js';
 import {applySuspension, type FleetBlackboard} from './fleet-state.js';
 import type {StorePort} from './store-port.js';
 import type {TableCache} from './table-cache.js';
@@ -15,8 +15,8 @@
 	readonly followers: TableFollower[];
 	/** What this host can tell others of its failure domain. */
 	readonly cache: TableCache;
-	/** Other hosts of the failure domain that have been heard lately. */
-	readonly readMates: () => readonly HostRecord[];
+	/** Finds the host of the failure domain that reads the store; nothing when this one does. */
+	readonly findReader: FindReader;
 	/** The store, or the host of the failure domain that reads it. */
 	readonly domainStore: StorePort;
 };
@@ -54,8 +54,8 @@
 	});
 }
 
-function readInterval({identity, readMates}: FollowedHost): number {
-	return findReader(identity, readMates()) ? MATE_INTERVAL_MS : STORE_INTERVAL_MS;
+function readInterval({findReader}: FollowedHost): number {
+	return findReader() ? MATE_INTERVAL_MS : STORE_INTERVAL_MS;
 }
 
 function readFleetInterval(host: FollowedHost): number {
--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -5,7 +5,7 @@
 } from 'heatherpond-session';
 import {decideAccess} from './access-decision.js';
 import {applyConfirmation, applyPrimacy, applySuspicion} from './apply-fleet-news.js';
-import {createDomainStore, findReader} from './domain-reader.js';
+import {createDomainStore} from './domain-reader.js';
 import {startPromotionConfirmations} from './confirm-promotions.js';
 import type {Contracts} from './contracts.js';
 import type {DatabaseControlPort, PromotionOrderPort} from './database-control-port.js';
@@ -79,15 +79,15 @@
 	const blackboard = createBlackboard<FleetState>(EMPTY_FLEET_STATE);
 	const usage: {exchange?: UsageExchange} = {};
 	const messages = createHostMessages({blackboard, clock, identity}, options.datagrams);
-	function readMates(): readonly HostRecord[] {
-		return usage.exchange?.readMates() ?? [];
+	function findReader(): HostRecord | undefined {
+		return usage.exchange?.findReader();
 	}
 
 	const domainStore = createDomainStore({
-		store: options.store, clock, identity, ask: messages.ask, readMates,
+		store: options.store, clock, findReader, ask: messages.ask,
 	});
 	const host: FollowedHost = {
-		...options, blackboard, followers: [], cache: createTableCache(), readMates, domainStore,
+		...options, blackboard, followers: [], cache: createTableCache(), findReader, domainStore,
 	};
 	const fleet = startFollowers(host);
 	const services: FleetServices = {
@@ -102,7 +102,8 @@
 	const positions = createPositionBook();
 	const suspicion = createPrimarySuspicion(services, signal);
 	const limits = createTeamLimits({
-		clock, blackboard, writeEvent, ask: messages.askGrant, findDecider: () => findReader(identity, readMates()), readUsage: team => usage.exchange!.readTeam(team),
+		clock, blackboard, writeEvent, ask: messages.askGrant, findDecider: findReader,
+		readUsage: team => usage.exchange!.readTeam(team),
 	});
 	const upstreams = createUpstreamDirectory({
 		clock, blackboard, positions, domain: identity.domain, random, readRegion,
@@ -141,7 +142,7 @@
 	void runHostRegistration(services, signal);
 	startPromotionConfirmations({...services, work, sendConfirmation: messages.sendConfirmation}, signal);
 	startPromotionController({
-		services, minDutyMs: options.minDutyMs, goesFirst: () => findReader(identity, readMates()) === undefined, signal,
+		services, minDutyMs: options.minDutyMs, goesFirst: () => findReader() === undefined, signal,
 	});
 	startUpkeep(host, upstreams);
 
--- a/packages/heatherpond-fleet/src/usage-exchange.ts
+++ b/packages/heatherpond-fleet/src/usage-exchange.ts
@@ -2,7 +2,7 @@
  * Exchanges accounts: each host tells those of its failure domain, and one host of each domain tells all others the sums.
  */
 import {runPeriodically, type Instant} from 'heatherpond-core';
-import {findReader} from './domain-reader.js';
+import {findReader, type DomainMate, type FindReader} from './domain-reader.js';
 import type {HostRecord} from './fleet-records.js';
 import type {FleetServices} from './fleet-services.js';
 import type {HostMessages} from './host-messages.js';
@@ -26,8 +26,8 @@
 	/** Takes the account of another host. */
 	readonly applyReport: (report: UsageReport) => void;
 	readonly readTeam: (team: string) => TeamUsage;
-	/** Other hosts of the failure domain that have been heard lately. */
-	readonly readMates: () => readonly HostRecord[];
+	/** Finds the host that reads the store and decides on limits for the failure domain; nothing when this one does. */
+	readonly findReader: FindReader;
 	/** Whether another host that has been heard lately can verify the contracts. */
 	readonly isVerifiedElsewhere: () => boolean;
 	/** Statements that other hosts have at work on a database. */
@@ -51,6 +51,7 @@
 	const {clock, identity} = services;
 	/** Last report by host of the own domain, and by other domain. */
 	const mates = new Map<string, Heard>();
+	const startedAt = clock.readNow();
 	const domains = new Map<string, Heard>();
 	let sequence = 0;
 	let lastAnsweredAt: Instant = Number.NEGATIVE_INFINITY;
@@ -63,18 +64,24 @@
 		return [...mates.values()].filter(isLately).map(({report}) => report);
 	}
 
-	function readMates(): readonly HostRecord[] {
-		const heard = new Set(readHeardMates().map(({host}) => host));
-		return messages.readPeers().filter(({host, domain}) => domain === identity.domain && heard.has(host));
+	function readMates(): readonly DomainMate[] {
+		return messages.readPeers().flatMap(record => {
+			const heard = record.domain === identity.domain ? mates.get(record.host) : undefined;
+			return heard && isLately(heard) ? [{...record, startedAt: heard.heardAt - heard.report.runningMs}] : [];
+		});
+	}
+
+	function findDomainReader(): HostRecord | undefined {
+		return findReader({host: identity.host, startedAt}, readMates(), clock.readNow());
 	}
 
 	async function sendReport(): Promise<void> {
 		sequence++;
 		const report: UsageReport = {
-			host: identity.host, incarnation: identity.incarnation, sequence, domain: identity.domain, isOfDomain: false, ...readOwn(),
+			host: identity.host, incarnation: identity.incarnation, sequence, domain: identity.domain, isOfDomain: false, runningMs: Math.round(clock.readNow() - startedAt), ...readOwn(),
 		};
 		messages.sendUsage(report, ({domain}) => domain === identity.domain);
-		if (!findReader(identity, readMates())) {
+		if (!findDomainReader()) {
 			messages.sendUsage(collectReports(report, readHeardMates()), ({domain}) => domain !== identity.domain);
 		}
 
@@ -131,10 +138,15 @@
 	}
 
 	void runPeriodically(clock, REPORT_MS, sendReport, signal);
+	// Before it is registered a host knows of no other; from then on the others have to know that it has started anew.
+	const stopListening = services.blackboard.registerListener(({registeredAt}) => registeredAt, () => {
+		void sendReport();
+	});
+	signal.addEventListener('abort', stopListening, {once: true});
 	return {
 		applyReport,
 		readTeam,
-		readMates,
+		findReader: findDomainReader,
 		isVerifiedElsewhere: () => [...mates.values(), ...domains.values()].some(heard => isLately(heard) && heard.report.isVerified),
 		countForeignStatements: database => countForeign(database, 0),
 		countForeignConnections: database => countForeign(database, 1),
--- a/packages/heatherpond-fleet/src/usage-report.ts
+++ b/packages/heatherpond-fleet/src/usage-report.ts
@@ -10,6 +10,8 @@
 	domain: z.string(),
 	/** Whether the account is of the whole domain. */
 	isOfDomain: z.boolean(),
+	/** Milliseconds for which the host has run. */
+	runningMs: z.number(),
 	/** Whether the host has verified the contracts lately. */
 	isVerified: z.boolean(),
 	/** By team: operations a second that are asked for. */
