Register all hosts of a failure domain in one transaction, and relay accounts within the domain

Change: the host that reads the store for its failure domain refreshes the registrations of the hosts that it hears and tells them; others refresh their own only when they are not told. Calls carry the versions of the rows, so that one that is carried out late undoes nothing. A host that leaves says so; its part of the limits is free at once. Accounts go to one host of each other domain, which relays them. Tests: registered through another host; late call; farewell; receivers of accounts. The test of a host that cannot register now also drops what it is told, since a host without the store is registered by its domain's reader.

--- a/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
+++ b/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
@@ -24,11 +24,16 @@
 	isKilled: boolean;
 	/** Its datagrams are lost, both ways. */
 	isDeaf: boolean;
+	/** Decides which datagrams to it are lost. */
+	losesDatagram: (text: string) => boolean;
 };
 
 /** An order that reached the platform. */
 export type SeenOrder = {readonly holder: string; readonly fence: number; readonly database: string; readonly at: number};
 
+/** A datagram that was sent from one host to another. */
+export type SeenDatagram = {readonly from: string; readonly to: string; readonly text: string; readonly at: number};
+
 /** What happens to an order. */
 export type OrderFault = 'lost' | 'answer_lost' | 'late' | undefined;
 
@@ -39,6 +44,7 @@
 	readonly databases: Map<string, TestDatabase>;
 	readonly hosts: TestHost[];
 	readonly orders: SeenOrder[];
+	readonly datagrams: SeenDatagram[];
 	/** What the hosts have logged. */
 	readonly events: readonly string[];
 	readonly setOrderFault: (decide: () => OrderFault) => void;
@@ -68,6 +74,7 @@
 	const listeners = new Map<string, (text: string) => void>();
 	const hosts: TestHost[] = [];
 	const orders: SeenOrder[] = [];
+	const datagrams: SeenDatagram[] = [];
 	const events: string[] = [];
 	let decideOrderFault: () => OrderFault = () => undefined;
 	let incarnations = 0;
@@ -117,7 +124,7 @@
 	function startHost(name: string, domain = 'domain-1'): TestHost {
 		incarnations++;
 		const lifetime = new AbortController();
-		const testHost: {isKilled: boolean; isDeaf: boolean} = {isKilled: false, isDeaf: false};
+		const testHost: Pick<TestHost, 'isKilled' | 'isDeaf' | 'losesDatagram'> = {isKilled: false, isDeaf: false, losesDatagram: () => false};
 		const host = startFleetHost({
 			identity: {
 				host: name, incarnation: `run-${incarnations}`, domain, address: name, port: 1,
@@ -148,6 +155,9 @@
 			},
 			datagrams: {
 				send(text, address) {
+					datagrams.push({
+						from: name, to: address, text, at: clock.readNow(),
+					});
 					if (!testHost.isDeaf && !testHost.isKilled) {
 						clock.registerTimer(clock.readNow() + 1, () => {
 							listeners.get(address)?.(text);
@@ -156,7 +166,7 @@
 				},
 				registerListener(listener) {
 					listeners.set(name, text => {
-						if (!testHost.isDeaf && !testHost.isKilled) {
+						if (!testHost.isDeaf && !testHost.isKilled && !testHost.losesDatagram(text)) {
 							listener(text);
 						}
 					});
@@ -195,7 +205,7 @@
 		startHost(name, name.includes('/') ? domain : undefined);
 	});
 	return {
-		clock, store, databases, hosts, orders, events, startHost,
+		clock, store, databases, hosts, orders, datagrams, events, startHost,
 		setOrderFault(decide) {
 			decideOrderFault = decide;
 		},
--- a/packages/heatherpond-fleet/src/__tests__/unit/domain-reader.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/domain-reader.test.ts
@@ -1,13 +1,16 @@
 import {describe, expect, test} from '@jest/globals';
 import {createFakeClock} from 'heatherpond-core';
 import {
-	createDomainStore, createMemoryStore, createTableCache, findReader, type DomainMate, type HostIdentity, type TableNews, type TablePage,
+	createDomainStore, createMemoryStore, createTableCache, findReader, HOSTS_TABLE, REGISTRATION_MS, type DomainMate, type HostIdentity, type HostRecord, type TableNews, type TablePage,
 } from '../../index.js';
 import {advance} from '../support/steps.js';
 import {
-	createTestFleet, CONTRACTS_TABLE, GROUP,
+	createTestFleet, CONTRACTS_TABLE, GROUP, STORE_LATENCY_MS,
 } from '../support/test-fleet.js';
 
+/** The store's clock minus that of the hosts. */
+const STORE_CLOCK_OFFSET_MS = 500_000;
+
 const IDENTITY: HostIdentity = {
 	host: 'host-2', incarnation: 'run', domain: 'd', address: 'a', port: 1,
 };
@@ -107,10 +110,61 @@
 		fleet.stop();
 	});
 
+	test('registers the others, also those that cannot reach the store', async () => {
+		const fleet = createTestFleet(['host-1', 'host-2', 'host-3']);
+		await advance(fleet.clock, 4000);
+		const writers = new Set<string>();
+		fleet.store.setFaults(({caller, kind}) => {
+			if (kind === 'write') {
+				writers.add(caller);
+			}
+
+			return caller === 'host-3' ? 'silent' : undefined;
+		});
+		await advance(fleet.clock, 12_000);
+		expect([...writers]).toEqual(['host-1']);
+		expect(fleet.hosts.map(({host}) => host.isReady())).toEqual([true, true, true]);
+		expect(fleet.hosts[2]!.host.sessions.primacy.findPrimary(GROUP)?.database).toBe('db-1');
+		const {refreshedAt} = JSON.parse(fleet.store.readRow(HOSTS_TABLE, 'host-3')!) as HostRecord;
+		const until = fleet.hosts[2]!.host.blackboard.read().registeredUntil;
+		expect(until).toBeLessThanOrEqual(refreshedAt - STORE_CLOCK_OFFSET_MS + REGISTRATION_MS + STORE_LATENCY_MS);
+		fleet.stop();
+	});
+
+	test('does not undo a registration by a call that is carried out late', async () => {
+		const fleet = createTestFleet(['host-1', 'host-2']);
+		await advance(fleet.clock, 4000);
+		fleet.killHost('host-2');
+		await advance(fleet.clock, 300);
+		fleet.startHost('host-2');
+		await advance(fleet.clock, 400);
+		const {incarnation} = JSON.parse(fleet.store.readRow(HOSTS_TABLE, 'host-2')!) as HostRecord;
+		await advance(fleet.clock, 5000);
+		expect(JSON.parse(fleet.store.readRow(HOSTS_TABLE, 'host-2')!)).toMatchObject({incarnation});
+		expect(incarnation).toBe('run-3');
+		fleet.stop();
+	});
+
+	test('stops to register a host that has left', async () => {
+		const fleet = createTestFleet(['host-1', 'host-2', 'host-3']);
+		await advance(fleet.clock, 4000);
+		const left = fleet.hosts[2]!;
+		left.host.startStopping();
+		const leaving = left.host.leave();
+		await advance(fleet.clock, 100);
+		await leaving;
+		left.lifetime.abort();
+		await advance(fleet.clock, 6000);
+		expect(fleet.store.readRow(HOSTS_TABLE, 'host-3')).toBeUndefined();
+		expect([...fleet.hosts[0]!.host.blackboard.read().hosts.keys()]).toEqual(['host-1', 'host-2']);
+		fleet.stop();
+	});
+
 	test('does not keep callers at a host that cannot register', async () => {
 		const fleet = createTestFleet(['host-1', 'host-2', 'host-3']);
 		await advance(fleet.clock, 4000);
 		expect(fleet.hosts.map(({host}) => host.isReady())).toEqual([true, true, true]);
+		fleet.hosts[2]!.losesDatagram = text => text.includes('"registered"');
 		fleet.store.setFaults(({caller}) => caller === 'host-3' ? 'silent' : undefined);
 		await advance(fleet.clock, 8000);
 		expect(fleet.hosts.map(({host}) => host.isReady())).toEqual([true, true, false]);
--- a/packages/heatherpond-fleet/src/__tests__/unit/team-limits.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/team-limits.test.ts
@@ -95,7 +95,7 @@
 describe('the account of a domain', () => {
 	test('is the sum of its hosts', () => {
 		const report: UsageReport = {
-			host: 'h', incarnation: 'r', sequence: 1, domain: 'd', isOfDomain: false, runningMs: 0, isVerified: false, teams: {a: 1.5, b: 2}, databases: {x: [1, 2]},
+			host: 'h', incarnation: 'r', sequence: 1, domain: 'd', isOfDomain: false, hasLeft: false, runningMs: 0, isVerified: false, teams: {a: 1.5, b: 2}, databases: {x: [1, 2]},
 		};
 		expect(collectReports(report, [{
 			...report, isVerified: true, teams: {a: 1}, databases: {x: [2, 3], y: [0, 1]},
--- /dev/null
+++ b/packages/heatherpond-fleet/src/__tests__/unit/usage-exchange.test.ts
@@ -0,0 +1,41 @@
+import {describe, expect, test} from '@jest/globals';
+import {advance} from '../support/steps.js';
+import {createTestFleet} from '../support/test-fleet.js';
+
+const HOSTS = ['domain-1/host-1', 'domain-1/host-2', 'domain-1/host-3', 'domain-2/host-1', 'domain-2/host-2', 'domain-2/host-3'];
+/** Milliseconds between two reports of a host. */
+const REPORT_MS = 1200;
+
+function readDomain(host: string): string {
+	return host.split('/')[0]!;
+}
+
+describe('accounts between failure domains', () => {
+	test('go from one host to one host, which tells the others of its domain', async () => {
+		const fleet = createTestFleet(HOSTS);
+		await advance(fleet.clock, 6000);
+		const since = fleet.clock.readNow();
+		const periods = 5;
+		await advance(fleet.clock, periods * REPORT_MS);
+		const accounts = fleet.datagrams.filter(({at, text}) => at > since && text.includes('"isOfDomain":true'));
+		const far = accounts.filter(({from, to}) => readDomain(from) !== readDomain(to));
+		expect(new Set(far.map(({from, to}) => `${from} ${to}`))).toEqual(new Set(['domain-1/host-1 domain-2/host-1', 'domain-2/host-1 domain-1/host-1']));
+		expect(far.length).toBeLessThanOrEqual(2 * (periods + 1));
+		const near = accounts.filter(({from, to}) => readDomain(from) === readDomain(to));
+		expect(new Set(near.map(({to}) => to))).toEqual(new Set(HOSTS.filter(host => !host.endsWith('host-1'))));
+		expect(near).toHaveLength(far.length * 2);
+		fleet.stop();
+	});
+
+	test('go to another host of a domain when the one that spoke for it is not heard', async () => {
+		const fleet = createTestFleet(HOSTS);
+		await advance(fleet.clock, 6000);
+		fleet.killHost('domain-2/host-1');
+		await advance(fleet.clock, 5000);
+		const since = fleet.clock.readNow();
+		await advance(fleet.clock, 2 * REPORT_MS);
+		const far = fleet.datagrams.filter(({from, to, at, text}) => at > since && text.includes('"isOfDomain":true') && readDomain(from) !== readDomain(to));
+		expect(far.map(({to}) => to)).toContain('domain-2/host-2');
+		fleet.stop();
+	});
+});
--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -17,7 +17,9 @@
 } from './fleet-state.js';
 import {isLapsed, isReady, isVerifiedLately} from './host-readiness.js';
 import {createHostMessages, type DatagramPort} from './host-messages.js';
-import {applyHeardHost, removeRegistration, runHostRegistration} from './host-registration.js';
+import {
+	applyHeardHost, applyLeftHost, removeRegistration, startHostRegistration,
+} from './host-registration.js';
 import {findPrimary, isProven, isReplaced} from './primacy.js';
 import {createPrimarySuspicion} from './primary-suspicion.js';
 import {createPrimaryWork} from './primary-work.js';
@@ -119,10 +121,14 @@
 		services, messages, signal,
 		readOwn: () => ({isVerified: isVerifiedLately(blackboard.read(), clock.readNow()) && !isLapsed(blackboard.read(), clock.readNow()), teams: limits.readUsage(), databases: upstreams.readUsage()}),
 	});
+	const registration = startHostRegistration({
+		services, findReader, readHeardReports: usage.exchange.readHeardReports, findSentAt: usage.exchange.findSentAt, sendRegistered: messages.sendRegistered, signal,
+	});
 	messages.registerHandlers({
-		handleUsage(report) {
-			blackboard.update(state => applyHeardHost(state, report.host, clock.readNow()));
-			usage.exchange?.applyReport(report);
+		handleRegistered: registration.applyRegistered,
+		handleUsage(report, isRelayed) {
+			blackboard.update(state => report.hasLeft ? applyLeftHost(state, report) : applyHeardHost(state, report.host, clock.readNow()));
+			usage.exchange?.applyReport(report, isRelayed);
 		},
 		handlePrimacy(primacy) {
 			blackboard.update(state => applyPrimacy(state, primacy));
@@ -139,7 +145,6 @@
 			blackboard.update(state => applySuspicion(state, record, isSuspected));
 		},
 	});
-	void runHostRegistration(services, signal);
 	startPromotionConfirmations({...services, work, sendConfirmation: messages.sendConfirmation}, signal);
 	startPromotionController({
 		services, minDutyMs: options.minDutyMs, goesFirst: () => findReader() === undefined, signal,
@@ -194,6 +199,7 @@
 		async leave() {
 			blackboard.update(applySuspension);
 			upstreams.destroy();
+			usage.exchange!.sendFarewell();
 			await removeRegistration(services);
 		},
 	};
--- a/packages/heatherpond-fleet/src/host-messages.ts
+++ b/packages/heatherpond-fleet/src/host-messages.ts
@@ -23,8 +23,14 @@
 	ageMs: z.optional(z.number()),
 });
 
+/** A run of a host that another host has registered, as of one of its reports. */
+const registeredRunSchema = z.object({incarnation: z.string(), sequence: z.number()});
+
+export type RegisteredRun = z.infer<typeof registeredRunSchema>;
+
 const messageSchema = z.discriminatedUnion('kind', [
-	z.object({kind: z.literal('usage'), report: usageReportSchema}),
+	z.object({kind: z.literal('usage'), report: usageReportSchema, isRelayed: z.boolean()}),
+	z.object({kind: z.literal('registered'), runs: z.array(registeredRunSchema)}),
 	z.object({kind: z.literal('primacy'), record: primacySchema, version: z.number()}),
 	z.object({kind: z.literal('confirmation'), record: confirmationSchema}),
 	z.object({
@@ -50,7 +56,10 @@
 
 /** What is done with messages of other hosts. */
 export type HostMessageHandlers = {
-	readonly handleUsage: (report: UsageReport) => void;
+	/** Takes a report; one of another domain that was not relayed yet is told to the own domain. */
+	readonly handleUsage: (report: UsageReport, isRelayed: boolean) => void;
+	/** Takes note that another host has refreshed registrations. */
+	readonly handleRegistered: (runs: readonly RegisteredRun[]) => void;
 	readonly handlePrimacy: (primacy: Versioned<PrimacyRecord>) => void;
 	readonly handleConfirmation: (confirmation: ConfirmationRecord) => void;
 	readonly handleSuspicion: (suspicion: SuspicionRecord, isSuspected: boolean) => void;
@@ -63,6 +72,10 @@
 /** Sends messages to all other hosts that may rely on leases. */
 export type HostMessages = {
 	readonly sendUsage: (report: UsageReport, isReceiver: (host: HostRecord) => boolean) => void;
+	/** Passes the report of another domain on within the own one. */
+	readonly sendRelayed: (report: UsageReport) => void;
+	/** Tells the hosts of the own failure domain which registrations this one has refreshed. */
+	readonly sendRegistered: (runs: readonly RegisteredRun[]) => void;
 	readonly sendPrimacy: (primacy: Versioned<PrimacyRecord>) => void;
 	readonly sendConfirmation: (confirmation: ConfirmationRecord) => void;
 	readonly sendSuspicion: (suspicion: SuspicionRecord, isSuspected: boolean) => void;
@@ -122,9 +135,15 @@
 
 	return {
 		sendUsage(report, isReceiver) {
-			sendToAll({kind: 'usage', report}, isReceiver);
+			sendToAll({kind: 'usage', report, isRelayed: false}, isReceiver);
+		},
+		sendRelayed(report) {
+			sendToAll({kind: 'usage', report, isRelayed: true}, ({domain}) => domain === identity.domain);
 		},
 		readPeers: findPeers,
+		sendRegistered(runs) {
+			sendToAll({kind: 'registered', runs: [...runs]}, ({domain}) => domain === identity.domain);
+		},
 		sendPrimacy({record, version}) {
 			sendToAll({kind: 'primacy', record, version});
 		},
@@ -189,7 +208,12 @@
 function handleMessage(message: ToldMessage | undefined, handlers: HostMessageHandlers): void {
 	switch (message?.kind) {
 		case 'usage': {
-			handlers.handleUsage(message.report);
+			handlers.handleUsage(message.report, message.isRelayed);
+			break;
+		}
+
+		case 'registered': {
+			handlers.handleRegistered(message.runs);
 			break;
 		}
 
--- a/packages/heatherpond-fleet/src/usage-report.ts
+++ b/packages/heatherpond-fleet/src/usage-report.ts
@@ -10,6 +10,8 @@
 	domain: z.string(),
 	/** Whether the account is of the whole domain. */
 	isOfDomain: z.boolean(),
+	/** Whether the host has stopped to work, and this is its last report. */
+	hasLeft: z.boolean(),
 	/** Milliseconds for which the host has run. */
 	runningMs: z.number(),
 	/** Whether the host has verified the contracts lately. */
