Tell hosts which others there are elsewhere, as their domain's reader has read it

Change: the reader tells its domain 20 other hosts with each refresh, in turn. Test: usage-exchange.test.ts, 40 s without reading.

--- a/packages/heatherpond-fleet/src/__tests__/unit/usage-exchange.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/usage-exchange.test.ts
@@ -10,6 +10,28 @@
 	return host.split('/')[0]!;
 }
 
+describe('hosts of other failure domains', () => {
+	test('stay known to hosts that do not read the list any more', async () => {
+		const fleet = createTestFleet(HOSTS);
+		await advance(fleet.clock, 4000);
+		const readers = new Set<string>();
+		fleet.store.setFaults(({caller, kind}) => {
+			if (kind === 'read') {
+				readers.add(caller);
+			}
+
+			return undefined;
+		});
+		await advance(fleet.clock, 40_000);
+		expect(readers).toEqual(new Set(['domain-1/host-1', 'domain-2/host-1']));
+		const now = fleet.clock.readNow();
+		const {hosts, storeClockOffset} = fleet.hosts[2]!.host.blackboard.read();
+		expect(hosts.size).toBe(HOSTS.length);
+		expect([...hosts.values()].filter(({refreshedAt}) => now + storeClockOffset - refreshedAt > 20_000)).toEqual([]);
+		fleet.stop();
+	});
+});
+
 describe('accounts between failure domains', () => {
 	test('go from one host to one host, which tells the others of its domain', async () => {
 		const fleet = createTestFleet(HOSTS);
--- a/packages/heatherpond-fleet/src/host-messages.ts
+++ b/packages/heatherpond-fleet/src/host-messages.ts
@@ -2,7 +2,7 @@
 import type {Deadline} from 'heatherpond-core';
 import {z} from 'zod/mini';
 import {
-	confirmationSchema, parseRecord, primacySchema, suspicionSchema, type ConfirmationRecord, type HostRecord, type PrimacyRecord, type SuspicionRecord,
+	confirmationSchema, hostSchema, parseRecord, primacySchema, suspicionSchema, type ConfirmationRecord, type HostRecord, type PrimacyRecord, type SuspicionRecord,
 } from './fleet-records.js';
 import type {AskHost} from './domain-reader.js';
 import type {FleetServices} from './fleet-services.js';
@@ -28,9 +28,18 @@
 
 export type RegisteredRun = z.infer<typeof registeredRunSchema>;
 
+/** What a host that refreshes registrations tells its failure domain. */
+const registrationNewsSchema = z.object({
+	runs: z.array(registeredRunSchema),
+	/** Some of the hosts of other failure domains, as last read from the store. */
+	farHosts: z.array(hostSchema),
+});
+
+export type RegistrationNews = z.infer<typeof registrationNewsSchema>;
+
 const messageSchema = z.discriminatedUnion('kind', [
 	z.object({kind: z.literal('usage'), report: usageReportSchema, isRelayed: z.boolean()}),
-	z.object({kind: z.literal('registered'), runs: z.array(registeredRunSchema)}),
+	z.object({kind: z.literal('registered'), news: registrationNewsSchema}),
 	z.object({kind: z.literal('primacy'), record: primacySchema, version: z.number()}),
 	z.object({kind: z.literal('confirmation'), record: confirmationSchema}),
 	z.object({
@@ -59,7 +68,7 @@
 	/** Takes a report; one of another domain that was not relayed yet is told to the own domain. */
 	readonly handleUsage: (report: UsageReport, isRelayed: boolean) => void;
 	/** Takes note that another host has refreshed registrations. */
-	readonly handleRegistered: (runs: readonly RegisteredRun[]) => void;
+	readonly handleRegistered: (news: RegistrationNews) => void;
 	readonly handlePrimacy: (primacy: Versioned<PrimacyRecord>) => void;
 	readonly handleConfirmation: (confirmation: ConfirmationRecord) => void;
 	readonly handleSuspicion: (suspicion: SuspicionRecord, isSuspected: boolean) => void;
@@ -75,7 +84,7 @@
 	/** Passes the report of another domain on within the own one. */
 	readonly sendRelayed: (report: UsageReport) => void;
 	/** Tells the hosts of the own failure domain which registrations this one has refreshed. */
-	readonly sendRegistered: (runs: readonly RegisteredRun[]) => void;
+	readonly sendRegistered: (news: RegistrationNews) => void;
 	readonly sendPrimacy: (primacy: Versioned<PrimacyRecord>) => void;
 	readonly sendConfirmation: (confirmation: ConfirmationRecord) => void;
 	readonly sendSuspicion: (suspicion: SuspicionRecord, isSuspected: boolean) => void;
@@ -141,8 +150,8 @@
 			sendToAll({kind: 'usage', report, isRelayed: true}, ({domain}) => domain === identity.domain);
 		},
 		readPeers: findPeers,
-		sendRegistered(runs) {
-			sendToAll({kind: 'registered', runs: [...runs]}, ({domain}) => domain === identity.domain);
+		sendRegistered(news) {
+			sendToAll({kind: 'registered', news}, ({domain}) => domain === identity.domain);
 		},
 		sendPrimacy({record, version}) {
 			sendToAll({kind: 'primacy', record, version});
@@ -213,7 +222,7 @@
 		}
 
 		case 'registered': {
-			handlers.handleRegistered(message.runs);
+			handlers.handleRegistered(message.news);
 			break;
 		}
 
--- a/packages/heatherpond-fleet/src/host-registration.ts
+++ b/packages/heatherpond-fleet/src/host-registration.ts
@@ -11,7 +11,7 @@
 } from './fleet-records.js';
 import type {FleetServices} from './fleet-services.js';
 import type {FleetState} from './fleet-state.js';
-import type {RegisteredRun} from './host-messages.js';
+import type {RegisteredRun, RegistrationNews} from './host-messages.js';
 import {REGISTRATION_MS} from './promotion-choices.js';
 import {StoreError, type TablePage} from './store-port.js';
 import type {HeardReport} from './usage-exchange.js';
@@ -24,15 +24,15 @@
 	readonly readHeardReports: () => readonly HeardReport[];
 	/** Finds when this host sent a report of its own. */
 	readonly findSentAt: (run: RegisteredRun) => Instant | undefined;
-	/** Tells the hosts of the failure domain whose registrations were refreshed. */
-	readonly sendRegistered: (runs: readonly RegisteredRun[]) => void;
+	/** Tells the hosts of the failure domain whose registrations were refreshed, and which hosts there are elsewhere. */
+	readonly sendRegistered: (news: RegistrationNews) => void;
 	readonly signal: AbortSignal;
 };
 
 /** The registration of one host. */
 export type HostRegistration = {
 	/** Takes note that another host has refreshed registrations. */
-	readonly applyRegistered: (runs: readonly RegisteredRun[]) => void;
+	readonly applyRegistered: (news: RegistrationNews) => void;
 };
 
 /** Milliseconds between two refreshes by the host that refreshes for its failure domain, and after one that failed. */
@@ -49,6 +49,8 @@
 const STEP_MS = 100;
 /** Milliseconds within which the store must answer. */
 const CALL_TIMEOUT_MS = 900;
+/** Hosts of other failure domains that are told at once. */
+const FAR_HOSTS_TOLD = 20;
 /** Milliseconds for which rows of hosts that are gone are kept, by the store's clock. */
 const KEEP_GONE_MS = 60_000;
 
@@ -58,16 +60,19 @@
 	listReadAt: Instant;
 	/** Versions of the rows by host, as last read or written; a call that is carried out late must not undo a newer one. */
 	versions: ReadonlyMap<string, number>;
+	/** Hosts of other failure domains that the own one was told of since the first. */
+	farHostsTold: number;
 };
 
 /** Registers the host again and again until the signal aborts. */
 export function startHostRegistration(options: HostRegistrationOptions): HostRegistration {
 	const registration: Registration = {
-		...options, refreshes: 0, nextRefreshAt: options.services.clock.readNow(), listReadAt: Number.NEGATIVE_INFINITY, versions: new Map(),
+		...options, refreshes: 0, nextRefreshAt: options.services.clock.readNow(), listReadAt: Number.NEGATIVE_INFINITY, versions: new Map(), farHostsTold: 0,
 	};
 	void runRegistration(registration);
 	return {
-		applyRegistered(runs) {
+		applyRegistered({runs, farHosts}) {
+			options.services.blackboard.update(state => applyFarHosts(state, farHosts));
 			runs.forEach(run => {
 				const sentAt = options.findSentAt(run);
 				if (sentAt !== undefined) {
@@ -150,7 +155,7 @@
 			blackboard.update(state => ({...state, hosts: new Map([...hosts, ...records.map(put => [put.host, put] as const)]), hasUnknownHosts: false}));
 			applyRefresh(services, sentAt);
 			if (mates.length > 0) {
-				sendRegistered(mates.map(({heard: {report}}) => ({incarnation: report.incarnation, sequence: report.sequence})));
+				sendRegistered({runs: mates.map(({heard: {report}}) => ({incarnation: report.incarnation, sequence: report.sequence})), farHosts: takeFarHosts(registration, hosts)});
 			}
 		}
 
@@ -189,12 +194,26 @@
 	});
 }
 
+/** Takes the next few hosts of other failure domains, so that all are told in turn. */
+function takeFarHosts(registration: Registration, hosts: ReadonlyMap<string, HostRecord>): HostRecord[] {
+	const far = [...hosts.values()].filter(({domain}) => domain !== registration.services.identity.domain);
+	const start = registration.farHostsTold < far.length ? registration.farHostsTold : 0;
+	registration.farHostsTold = start + FAR_HOSTS_TOLD;
+	return far.slice(start, start + FAR_HOSTS_TOLD);
+}
+
+/** Takes note of hosts of other failure domains, as another host has read them. */
+function applyFarHosts(state: FleetState, farHosts: readonly HostRecord[]): FleetState {
+	const newer = farHosts.filter(({host, refreshedAt}) => (state.hosts.get(host)?.refreshedAt ?? Number.NEGATIVE_INFINITY) < refreshedAt);
+	return newer.length === 0 ? state : {...state, hosts: new Map([...state.hosts, ...newer.map(record => [record.host, record] as const)])};
+}
+
 /** Takes note that the host's registration was refreshed as of an instant, and that the store has accepted it. */
 function applyRefresh({blackboard, clock, writeEvent, refreshFleet, identity}: FleetServices, refreshedAt: Instant): void {
 	const now = clock.readNow();
 	const isFirst = blackboard.read().registeredUntil <= now;
 	blackboard.update(state => ({
-		...state,
+		...applyHeardHost(state, identity.host, refreshedAt),
 		registeredUntil: Math.max(state.registeredUntil, refreshedAt + REGISTRATION_MS),
 		registeredAt: isFirst ? now : state.registeredAt,
 	}));
