Hold the connections to a database at few hosts when there are too few for all

Change: when a host's equal part is less than two, a few hosts in the failure domain of the database (at least ten connections each) hold them, each for some of the teams by rendezvous; others send their statements there over a link. The engine hands a connection whole steps (setup, opening, command), so that a step takes one round trip wherever the connection is. A connection whose opening of a transaction was refused is kept. Ruled out: more connections a host (rejections), datagrams (answers of 1 MiB).

--- /dev/null
+++ b/packages/heatherpond-fleet/src/__tests__/support/memory-links.ts
@@ -0,0 +1,118 @@
+/** Links between hosts in memory: texts arrive after a while, in order; a link can go silent or close. */
+import type {FakeClock} from 'heatherpond-core';
+import type {HostLink, HostLinkPort} from '../../index.js';
+
+/** Milliseconds that a text takes one way. */
+export const LINK_LATENCY_MS = 2;
+
+/** The links of all hosts. */
+export type MemoryLinks = {
+	readonly createPort: (address: string) => HostLinkPort;
+	/** Texts to and from a host are lost from now on, without a sign. */
+	readonly silence: (address: string) => void;
+	readonly restore: (address: string) => void;
+	/** Closes all links of a host and refuses new ones. */
+	readonly close: (address: string) => void;
+	/** Texts that have been sent to a host. */
+	readonly countSentTo: (address: string) => number;
+};
+
+type End = {readonly link: HostLink; readonly deliver: (text: string) => void; readonly handleClose: () => void};
+
+/** Creates the links. */
+export function createMemoryLinks(clock: FakeClock): MemoryLinks {
+	const servers = new Map<string, (link: HostLink) => void>();
+	const silent = new Set<string>();
+	const closed = new Set<string>();
+	const sentTo = new Map<string, number>();
+	const openLinks: Array<{readonly addresses: readonly string[]; readonly close: () => void}> = [];
+
+	function isLost(addresses: readonly string[]): boolean {
+		return addresses.some(address => silent.has(address));
+	}
+
+	function createEnd(addresses: readonly string[], findOther: () => End | undefined, close: () => void, target: string): End {
+		let listener: (text: string) => void = () => undefined;
+		let closeListeners: Array<() => void> = [];
+		let isClosed = false;
+		return {
+			deliver(text) {
+				if (!isClosed) {
+					listener(text);
+				}
+			},
+			handleClose() {
+				isClosed = true;
+				const listeners = closeListeners;
+				closeListeners = [];
+				listeners.forEach(handleClose => {
+					handleClose();
+				});
+			},
+			link: {
+				send(text) {
+					sentTo.set(target, (sentTo.get(target) ?? 0) + 1);
+					if (!isClosed && !isLost(addresses)) {
+						clock.registerTimer(clock.readNow() + LINK_LATENCY_MS, () => {
+							findOther()?.deliver(text);
+						});
+					}
+				},
+				registerListener(next) {
+					listener = next;
+				},
+				registerCloseListener(handleClose) {
+					closeListeners.push(handleClose);
+				},
+				destroy: close,
+			},
+		};
+	}
+
+	function openLink(from: string, to: string): HostLink {
+		const addresses = [from, to];
+		let ends: readonly End[] = [];
+		function close(): void {
+			const both = ends;
+			ends = [];
+			both.forEach(end => {
+				end.handleClose();
+			});
+		}
+
+		const near: End = createEnd(addresses, () => ends[1], close, to);
+		const far: End = createEnd(addresses, () => ends[0], close, from);
+		ends = [near, far];
+		openLinks.push({addresses, close});
+		const serve = servers.get(to);
+		if (!serve || closed.has(to)) {
+			clock.registerTimer(clock.readNow() + LINK_LATENCY_MS, close);
+		} else {
+			serve(far.link);
+		}
+
+		return near.link;
+	}
+
+	return {
+		createPort: address => ({
+			connect: target => openLink(address, target),
+			registerServer(handleLink) {
+				servers.set(address, handleLink);
+			},
+		}),
+		silence(address) {
+			silent.add(address);
+		},
+		restore(address) {
+			silent.delete(address);
+		},
+		close(address) {
+			closed.add(address);
+			openLinks.filter(({addresses}) => addresses.includes(address)).forEach(({close}) => {
+				close();
+			});
+		},
+		countSentTo: address => sentTo.get(address) ?? 0,
+	};
+}
--- a/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
+++ b/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
@@ -4,6 +4,7 @@
 import {
 	createMemoryStore, startFleetHost, type DatabaseControlPort, type DatabaseStatus, type FleetHost, type MemoryStore, type Upstream,
 } from '../../index.js';
+import {createMemoryLinks} from './memory-links.js';
 
 /** One database of the group. */
 export type TestDatabase = {
@@ -72,6 +73,7 @@
 	const store = createMemoryStore({clock, latencyMs: STORE_LATENCY_MS});
 	const databases = new Map(['db-1', 'db-2', 'db-3'].map((id, index) => [id, createDatabase(id, index)] as const));
 	const listeners = new Map<string, (text: string) => void>();
+	const links = createMemoryLinks(clock);
 	const hosts: TestHost[] = [];
 	const orders: SeenOrder[] = [];
 	const datagrams: SeenDatagram[] = [];
@@ -172,6 +174,7 @@
 					});
 				},
 			},
+			links: links.createPort(name),
 			async openConnection() {
 				throw new Error('no connections in this test');
 			},
--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -16,6 +16,7 @@
 	applySuspension, EMPTY_FLEET_STATE, type FleetBlackboard, type FleetState,
 } from './fleet-state.js';
 import {isLapsed, isReady, isVerifiedLately} from './host-readiness.js';
+import type {HostLinkPort} from './host-links.js';
 import {createHostMessages, type DatagramPort} from './host-messages.js';
 import {
 	applyHeardHost, applyLeftHost, removeRegistration, startHostRegistration,
@@ -24,6 +25,8 @@
 import {createPrimarySuspicion} from './primary-suspicion.js';
 import {createPrimaryWork} from './primary-work.js';
 import {startPromotionController} from './promotion-controller.js';
+import {createRelayClient} from './relay-client.js';
+import {startRelayServer} from './relay-server.js';
 import type {RowChange, StorePort} from './store-port.js';
 import type {SuspensionWatch} from './suspension-watch.js';
 import {createTableCache} from './table-cache.js';
@@ -42,6 +45,7 @@
 	readonly databases: DatabaseControlPort;
 	readonly orders: PromotionOrderPort;
 	readonly datagrams: DatagramPort;
+	readonly links: HostLinkPort;
 	readonly openConnection: (upstream: Upstream, team: string, deadline: Deadline) => Promise<UpstreamConnection>;
 	readonly writeEvent: WriteEvent;
 	readonly random: () => number;
@@ -107,16 +111,24 @@
 		clock, blackboard, writeEvent, ask: messages.askGrant, findDecider: findReader,
 		readUsage: team => usage.exchange!.readTeam(team),
 	});
+	const ownRecord: HostRecord = {...identity, refreshedAt: 0};
+	const relays = createRelayClient({clock, links: options.links, writeEvent});
 	const upstreams = createUpstreamDirectory({
 		clock, blackboard, positions, domain: identity.domain, random, readRegion,
 		open: async (upstream, team) => options.openConnection(upstream, team, clock.readNow() + OPENING_TIMEOUT_MS),
 		handleFailure: suspicion.applyFailure,
+		relays,
+		readHosts: () => [ownRecord, ...messages.readPeers()],
 		readForeign: database => ({
 			statements: usage.exchange?.countForeignStatements(database) ?? 0,
 			connections: usage.exchange?.countForeignConnections(database) ?? 0,
-			hosts: messages.countPeers(),
 		}),
 	});
+	startRelayServer({
+		clock, writeEvent, links: options.links, acquire: upstreams.acquireOwn, applyFailure: upstreams.applyFailure,
+		isReplaced: primary => isReplaced(blackboard.read(), primary),
+		isStopping: () => blackboard.read().isStopping,
+	});
 	usage.exchange = startUsageExchange({
 		services, messages, signal,
 		readOwn: () => ({isVerified: isVerifiedLately(blackboard.read(), clock.readNow()) && !isLapsed(blackboard.read(), clock.readNow()), teams: limits.readUsage(), databases: upstreams.readUsage()}),
@@ -198,6 +210,7 @@
 		},
 		async leave() {
 			blackboard.update(applySuspension);
+			relays.destroy();
 			upstreams.destroy();
 			usage.exchange!.sendFarewell();
 			await removeRegistration(services);
--- /dev/null
+++ b/packages/heatherpond-fleet/src/tcp-links.ts
@@ -0,0 +1,92 @@
+/** Connections between hosts over TCP: one text a line. */
+import {createConnection, createServer, type Socket} from 'node:net';
+import {StringDecoder} from 'node:string_decoder';
+import type {WriteEvent} from 'heatherpond-session';
+import type {HostLink, HostLinkPort} from './host-links.js';
+
+/** Where this host takes links. */
+export type TcpLinksOptions = {
+	readonly address: string;
+	readonly port: number;
+	readonly writeEvent: WriteEvent;
+	/** Ends all links. */
+	readonly signal: AbortSignal;
+};
+
+/** Longest text, in characters: a statement and its answer have at most 1 MiB each, before quoting. */
+const MAX_TEXT = 4_194_304;
+
+/** Starts to take links; resolves when the port is open. */
+export async function startTcpLinks({address, port, writeEvent, signal}: TcpLinksOptions): Promise<HostLinkPort> {
+	let handleLink: (link: HostLink) => void = link => {
+		link.destroy();
+	};
+
+	const server = createServer({noDelay: true}, socket => {
+		handleLink(createLink(socket, signal));
+	});
+	server.on('error', error => {
+		writeEvent('links_failed', {reason: error.message});
+	});
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen({host: address, port, signal}, resolve);
+	});
+	return {
+		connect: (host, remotePort) => createLink(createConnection({host, port: remotePort, noDelay: true}), signal),
+		registerServer(handler) {
+			handleLink = handler;
+		},
+	};
+}
+
+function createLink(socket: Socket, signal: AbortSignal): HostLink {
+	const decoder = new StringDecoder('utf8');
+	let listener: (text: string) => void = () => undefined;
+	let closeListeners: Array<() => void> = [];
+	let partial = '';
+
+	function destroy(): void {
+		socket.destroy();
+	}
+
+	socket.on('data', chunk => {
+		const lines = (partial + decoder.write(chunk)).split('\n');
+		partial = lines.pop()!;
+		if (partial.length > MAX_TEXT) {
+			destroy();
+			return;
+		}
+
+		lines.forEach(line => {
+			listener(line);
+		});
+	});
+	// The close event follows and tells those who wait.
+	socket.on('error', destroy);
+	socket.on('close', () => {
+		signal.removeEventListener('abort', destroy);
+		const listeners = closeListeners;
+		closeListeners = [];
+		listeners.forEach(handleClose => {
+			handleClose();
+		});
+	});
+	signal.addEventListener('abort', destroy, {once: true});
+	return {
+		send(text) {
+			socket.write(`${text}\n`);
+		},
+		registerListener(next) {
+			listener = next;
+		},
+		registerCloseListener(handleClose) {
+			if (socket.destroyed) {
+				handleClose();
+			} else {
+				closeListeners.push(handleClose);
+			}
+		},
+		destroy,
+	};
+}
--- a/packages/heatherpond-fleet/src/upstream-directory.ts
+++ b/packages/heatherpond-fleet/src/upstream-directory.ts
@@ -1,9 +1,12 @@
 /** The databases that this host uses: their pools, what is at work on them, and how they have fared. */
 import type {Clock, Instant} from 'heatherpond-core';
 import {
-	createConnectionPool, createUpstreamError, type ConnectionPool, type PositionBook, type UpstreamCandidate, type UpstreamConnection, type UpstreamsPort,
+	createConnectionPool, createUpstreamError, type ConnectionPool, type Loan, type LoanRequest, type PositionBook, type UpstreamCandidate, type UpstreamConnection, type UpstreamsPort,
 } from 'heatherpond-session';
+import type {HostRecord} from './fleet-records.js';
 import type {FleetBlackboard} from './fleet-state.js';
+import {findRelays, isRelayed, orderRelays} from './relay-choice.js';
+import type {RelayClient} from './relay-client.js';
 import type {Upstream} from './upstream.js';
 
 /** What the directory needs. */
@@ -19,11 +22,16 @@
 	readonly open: (upstream: Upstream, team: string) => Promise<UpstreamConnection>;
 	/** Takes note that a database failed or was silent. */
 	readonly handleFailure: (database: string) => void;
-	readonly readForeign: (database: string) => {readonly statements: number; readonly connections: number; readonly hosts: number};
+	readonly readForeign: (database: string) => {readonly statements: number; readonly connections: number};
+	/** Every host that is registered, this one first. */
+	readonly readHosts: () => readonly HostRecord[];
+	readonly relays: RelayClient;
 };
 
 /** The directory. */
 export type UpstreamDirectory = UpstreamsPort & {
+	/** Lends a connection that this host holds itself. */
+	readonly acquireOwn: (database: string, request: LoanRequest) => Promise<Loan>;
 	/** By database: statements at work, and open connections. */
 	readonly readUsage: () => Record<string, [number, number]>;
 	/** Closes what has been idle for long, and pools of databases that are gone. */
@@ -51,6 +59,8 @@
 
 /** Part of a database's connections that is left for hosts that start, while it still counts those of their last run. */
 const RESERVED_SHARE = 0.2;
+/** Connections of a host to a database whose connections others hold, for when it reaches none of those. */
+const FALLBACK_CONNECTIONS = 1;
 const MEAN_WEIGHT = 0.1;
 /** Milliseconds of a round trip within the failure domain, within the region and beyond. */
 const NEAR_ROUND_TRIP_MS = 1;
@@ -61,6 +71,8 @@
 export function createUpstreamDirectory(options: UpstreamDirectoryOptions): UpstreamDirectory {
 	const {clock, blackboard, positions} = options;
 	const entries = new Map<string, Entry>();
+	/** Looked up anew with each refresh. */
+	const relaysByDatabase = new Map<string, readonly HostRecord[]>();
 
 	function findEntry(upstream: Upstream): Entry {
 		const known = entries.get(upstream.id);
@@ -92,10 +104,41 @@
 		return {most, unused: most - options.readForeign(id).connections - (entries.get(id)?.pool.countOpen() ?? 0)};
 	}
 
-	/** Every host has an equal part, and an equal part of what the others leave unused. */
+	/** Finds the hosts that hold the connections to a database for all; none when each host has its own. */
+	function findDatabaseRelays(upstream: Upstream): readonly HostRecord[] {
+		const known = relaysByDatabase.get(upstream.id);
+		if (known) {
+			return known;
+		}
+
+		const hosts = options.readHosts();
+		const {most: connections} = readRoom(upstream);
+		const found = isRelayed({connections, hosts})
+			? findRelays({
+				database: upstream.id, domain: upstream.domain, connections, hosts, readRegion: options.readRegion,
+			})
+			: [];
+		relaysByDatabase.set(upstream.id, found);
+		return found;
+	}
+
+	/** Finds the host that holds the connections of a team; nothing when this one does, or none can be reached. */
+	function findRelay(upstream: Upstream, team: string): HostRecord | undefined {
+		const [own] = options.readHosts();
+		const chosen = orderRelays(findDatabaseRelays(upstream), team).find(({host}) => host === own!.host || !options.relays.isAvoided(host));
+		return chosen?.host === own!.host ? undefined : chosen;
+	}
+
+	/** Every host has an equal part, and an equal part of what the others leave unused; or few hosts have all. */
 	function readCap(upstream: Upstream): number {
 		const {most, unused} = readRoom(upstream);
-		const hosts = options.readForeign(upstream.id).hosts + 1;
+		const allHosts = options.readHosts();
+		const relays = findDatabaseRelays(upstream);
+		if (relays.length > 0) {
+			return relays.some(({host}) => host === allHosts[0]!.host) ? Math.max(1, Math.floor(most / relays.length)) : FALLBACK_CONNECTIONS;
+		}
+
+		const hosts = allHosts.length;
 		return Math.max(1, Math.floor(most / hosts), (entries.get(upstream.id)?.pool.countOpen() ?? 0) + Math.floor(unused / hosts));
 	}
 
@@ -103,7 +146,8 @@
 	function readIdleMs(id: string): number {
 		const upstream = findUpstream(id);
 		const {most, unused} = upstream ? readRoom(upstream) : {most: 0, unused: 0};
-		return unused < most * SCARCE_SHARE ? SCARCE_IDLE_MS : IDLE_MS;
+		const hasOwnPart = upstream !== undefined && findDatabaseRelays(upstream).length === 0;
+		return hasOwnPart && unused < most * SCARCE_SHARE ? SCARCE_IDLE_MS : IDLE_MS;
 	}
 
 	function readRoundTrip(upstream: Upstream): number {
@@ -122,7 +166,7 @@
 			capacity: upstream.capacity,
 			inFlight: entry.inFlight,
 			foreignInFlight: options.readForeign(upstream.id).statements,
-			hasIdleConnection: entry.pool.hasIdle(team),
+			hasIdleConnection: entry.pool.hasIdle(team) || findRelay(upstream, team) !== undefined,
 			isCrowded: entry.pool.isCrowded(),
 			roundTripMs: readRoundTrip(upstream),
 			isNear: upstream.domain === options.domain,
@@ -132,6 +176,15 @@
 		};
 	}
 
+	async function acquireOwn(database: string, request: LoanRequest): Promise<Loan> {
+		const upstream = findUpstream(database);
+		if (!upstream) {
+			throw createUpstreamError('the database is not registered', 'closed', false);
+		}
+
+		return findEntry(upstream).pool.acquire(request);
+	}
+
 	return {
 		findCandidates(group, team, primary) {
 			return [...blackboard.read().upstreams.values()]
@@ -140,12 +193,10 @@
 		},
 		async acquire(database, request) {
 			const upstream = findUpstream(database);
-			if (!upstream) {
-				throw createUpstreamError('the database is not registered', 'closed', false);
-			}
-
-			return findEntry(upstream).pool.acquire(request);
+			const relay = upstream && findRelay(upstream, request.team);
+			return relay ? options.relays.createLoan(relay, database, request) : acquireOwn(database, request);
 		},
+		acquireOwn,
 		registerWork(database) {
 			const entry = entries.get(database);
 			let isEnded = entry === undefined;
@@ -162,7 +213,7 @@
 		},
 		applyFailure(database, reason, at) {
 			const entry = entries.get(database);
-			if (!entry || reason === 'too_many') {
+			if (!entry || reason === 'too_many' || reason === 'relay') {
 				return;
 			}
 
@@ -190,6 +241,7 @@
 		},
 		refresh() {
 			const now = clock.readNow();
+			relaysByDatabase.clear();
 			[...entries].forEach(([id, entry]) => {
 				entry.pool.closeIdle(now - readIdleMs(id));
 				if (!findUpstream(id) && entry.pool.countLent() === 0) {
--- a/packages/heatherpond-session/src/__tests__/unit/connection-pool.test.ts
+++ b/packages/heatherpond-session/src/__tests__/unit/connection-pool.test.ts
@@ -60,7 +60,7 @@
 
 function createRequest(team: string, change: Partial<LoanRequest> = {}): LoanRequest {
 	return {
-		team, priority: 1, deadline: 10_000, signal: new AbortController().signal, isSuited: () => true, ...change,
+		team, priority: 1, deadline: 10_000, signal: new AbortController().signal, variables: new Map(), ...change,
 	};
 }
 
@@ -80,7 +80,7 @@
 		await useConnection(fixture, 'a');
 		await useConnection(fixture, 'b');
 		const loan = await acquire(fixture, 'a');
-		expect(loan.connection.upstream.team).toBe('a');
+		expect(loan.team).toBe('a');
 		expect(fixture.opened).toEqual(['a', 'b']);
 	});
 
--- a/packages/heatherpond-session/src/caller-session.ts
+++ b/packages/heatherpond-session/src/caller-session.ts
@@ -117,7 +117,7 @@
 		}
 
 		case 'variable': {
-			return runVariable(session, plan, access.route.timeoutMs);
+			return runVariable(session, access.route.timeoutMs);
 		}
 
 		case 'commit':
--- a/packages/heatherpond-session/src/connection-pool.ts
+++ b/packages/heatherpond-session/src/connection-pool.ts
@@ -4,38 +4,14 @@
  * every connection that is open or being opened; each is counted off once.
  */
 import type {
-	Clock, Deadline, Instant, Teardown,
+	Clock, Instant, Teardown,
 } from 'heatherpond-core';
+import {hasSameVariables} from './connection-setup.js';
+import type {Loan, LoanRequest} from './loan.js';
+import {createPooledLoan, type PooledConnection} from './pooled-loan.js';
 import {createUpstreamError, UpstreamError} from './session-error.js';
 import type {UpstreamConnection} from './upstream-connection.js';
 
-/** A connection and what is known to be set up on it. */
-export type PooledConnection = {
-	readonly upstream: UpstreamConnection;
-	readonly variables: Map<string, string>;
-	/** Upstream names of prepared statements. */
-	readonly statements: Set<string>;
-	idleSince: Instant;
-};
-
-/** A connection on loan to one statement or transaction. */
-export type Loan = {
-	readonly connection: PooledConnection;
-	/** Gives the connection back; one that is not clean is closed. Calling it again does nothing. */
-	readonly release: (isClean: boolean) => void;
-};
-
-/** Who wants a connection. */
-export type LoanRequest = {
-	readonly team: string;
-	/** 0 is the most urgent. */
-	readonly priority: number;
-	readonly deadline: Deadline;
-	readonly signal: AbortSignal;
-	/** Decides whether an idle connection suits the session better than others. */
-	readonly isSuited: (connection: PooledConnection) => boolean;
-};
-
 /** How a pool runs. */
 export type ConnectionPoolOptions = {
 	readonly clock: Clock;
@@ -95,9 +71,9 @@
 		openings.set(team, (openings.get(team) ?? 0) + change);
 	}
 
-	function takeIdle({team, isSuited}: LoanRequest): PooledConnection | undefined {
+	function takeIdle({team, variables}: LoanRequest): PooledConnection | undefined {
 		const own = idle.filter(({upstream}) => upstream.team === team && upstream.isOpen());
-		const chosen = own.findLast(connection => isSuited(connection)) ?? own.at(-1);
+		const chosen = own.findLast(connection => hasSameVariables(connection, variables)) ?? own.at(-1);
 		idle = idle.filter(connection => connection !== chosen);
 		return chosen;
 	}
@@ -243,24 +219,14 @@
 	}
 
 	function createLoan(connection: PooledConnection): Loan {
-		let isReleased = false;
-		countLoan(connection.upstream.team, 1);
-		return {
-			connection,
-			release(isClean) {
-				if (isReleased) {
-					return;
-				}
-
-				isReleased = true;
-				countLoan(connection.upstream.team, -1);
-				if (isClean) {
-					applyRelease(connection);
-				} else {
-					connection.upstream.destroy();
-				}
+		const {team} = connection.upstream;
+		countLoan(team, 1);
+		return createPooledLoan({
+			clock, connection, applyRelease,
+			handleEnd() {
+				countLoan(team, -1);
 			},
-		};
+		});
 	}
 
 	return {
--- a/packages/heatherpond-session/src/connection-setup.ts
+++ b/packages/heatherpond-session/src/connection-setup.ts
@@ -1,5 +1,5 @@
 /** Brings a connection to the session values and prepared statements that a caller's session expects. */
-import type {PooledConnection} from './connection-pool.js';
+import type {PooledConnection} from './pooled-loan.js';
 import type {StatementAccess} from './statement.js';
 import type {UpstreamCommand} from './upstream-connection.js';
 
--- a/packages/heatherpond-session/src/index.ts
+++ b/packages/heatherpond-session/src/index.ts
@@ -1,7 +1,10 @@
 /** Public face of the session engine. */
 export * from './caller-session.js';
 export * from './connection-pool.js';
+export * from './connection-setup.js';
+export type * from './loan.js';
 export * from './log-order.js';
+export * from './pooled-loan.js';
 export * from './position-book.js';
 export * from './refusal.js';
 export type * from './route.js';
--- a/packages/heatherpond-session/src/session-error.ts
+++ b/packages/heatherpond-session/src/session-error.ts
@@ -21,7 +21,9 @@
 	/** Another database has taken over the address. */
 		| 'wrong_database'
 	/** What came cannot be read. */
-		| 'unreadable';
+		| 'unreadable'
+	/** The host that holds the connection cannot be reached; the database may be well. */
+		| 'relay';
 
 const NO_FAILURE = 'closed' as UpstreamFailure;
 
--- a/packages/heatherpond-session/src/session-services.ts
+++ b/packages/heatherpond-session/src/session-services.ts
@@ -2,7 +2,7 @@
 import type {
 	Clock, Deadline, Instant, LogPoint,
 } from 'heatherpond-core';
-import type {Loan, LoanRequest} from './connection-pool.js';
+import type {Loan, LoanRequest} from './loan.js';
 import type {PositionBook} from './position-book.js';
 import type {SessionRoute} from './route.js';
 import type {UpstreamCandidate} from './upstream-choice.js';
--- a/packages/heatherpond-session/src/session-state.ts
+++ b/packages/heatherpond-session/src/session-state.ts
@@ -1,7 +1,7 @@
 /** State of one caller's session, and how statements that no database sees change it. */
 import type {Instant, LogPoint} from 'heatherpond-core';
 import type {PreparedStatement} from './connection-setup.js';
-import type {Loan} from './connection-pool.js';
+import type {Loan} from './loan.js';
 import {createRefusal, type Refusal} from './refusal.js';
 import type {Primary} from './session-services.js';
 import type {Statement, StatementAccess, TransactionState} from './statement.js';
--- a/packages/heatherpond-session/src/statement-attempts.ts
+++ b/packages/heatherpond-session/src/statement-attempts.ts
@@ -3,15 +3,14 @@
  * tried again also when its answer was lost; a write that was sent is never sent twice.
  */
 import {waitUntil, type Deadline} from 'heatherpond-core';
-import {collectSetup, hasSameVariables} from './connection-setup.js';
-import type {Loan} from './connection-pool.js';
+import type {Loan} from './loan.js';
 import {createRefusal, type Refusal} from './refusal.js';
 import {createStatementCommand, type RunningStatement} from './running-statement.js';
 import {createRefusedError, UpstreamError} from './session-error.js';
 import type {SessionServices} from './session-services.js';
 import type {OpenTransaction, SessionState} from './session-state.js';
 import {
-	exchangeCommand, exchangeSetup, exchangeStatement, type ExchangeEnd, type ExchangeInput,
+	exchangeCommand, type ExchangeEnd, type ExchangeInput, type ExchangeStep,
 } from './statement-exchange.js';
 import {isTargetStanding, waitForTarget, type StatementTarget} from './statement-target.js';
 import type {UpstreamAnswer} from './upstream-connection.js';
@@ -53,8 +52,11 @@
 	const work = {end: (): void => undefined};
 	const answered = await runAttempts(context, async (loan, target) => {
 		work.end = registerWrite(context, target);
-		const end = await exchangeStatement(createInput(context, loan, target), context.running, target, context.state.variables);
-		loan.release(end.kind !== 'lost' && (end.answer?.state ?? 'idle') === 'idle');
+		const {running, state: {variables}} = context;
+		const end = await exchangeCommand(createInput(context, loan, target), {
+			needs: {variables, statement: running.prepared}, command: createStatementCommand(running, target.after), isSentOnce: running.access === 'write', isLast: true,
+		});
+		loan.release(end.kind !== 'lost' && end.answer.state === 'idle');
 		if (end.kind !== 'answered') {
 			work.end();
 		}
@@ -77,14 +79,14 @@
 export async function runFirstStatement(context: AttemptContext, isReadOnly: boolean): Promise<AnsweredStatement> {
 	return runAttempts(context, async (loan, target) => {
 		const input = createInput(context, loan, target);
-		const setup = collectSetup(loan.connection, {variables: context.state.variables, statement: context.running.prepared});
-		const refused = await exchangeSetup(input, [...setup, {kind: 'begin', isReadOnly, after: target.after}]);
-		if (refused) {
-			loan.release(false);
-			return refused;
+		const {running, state: {variables}} = context;
+		const end = await exchangeInTransaction(context, input, {needs: {variables, statement: running.prepared}, begin: {isReadOnly, after: target.after}});
+		if (end.kind === 'not_run' && end.answer.state === 'idle') {
+			// The database has not opened the transaction.
+			loan.release(true);
+			return end;
 		}
 
-		const end = await exchangeInTransaction(context, input);
 		if (end.kind !== 'answered') {
 			releaseTransaction(context.services, loan);
 			// It is rolled back, so nothing that was sent is kept.
@@ -96,32 +98,29 @@
 }
 
 /** Runs a statement in an open transaction; one that the database was too busy for is repeated there. */
-export async function exchangeInTransaction({services, running, signal}: Pick<AttemptContext, 'services' | 'running' | 'signal'>, input: ExchangeInput): Promise<ExchangeEnd> {
+export async function exchangeInTransaction({services, running, signal}: Pick<AttemptContext, 'services' | 'running' | 'signal'>, input: ExchangeInput, {needs, begin}: Pick<ExchangeStep, 'needs' | 'begin'>): Promise<ExchangeEnd> {
+	const command = createStatementCommand(running);
+	const isLast = running.statement.action.kind === 'commit';
+	let isOpen = false;
 	while (true) {
-		const end = await exchangeCommand(input, createStatementCommand(running));
-		const isBusy = end.kind === 'not_run' && end.reason === 'busy' && end.answer?.state === 'open';
+		const end = await exchangeCommand(input, {
+			needs, begin: isOpen ? undefined : begin, command, isLast,
+		});
+		const isBusy = end.kind === 'not_run' && end.reason === 'busy' && end.answer.state === 'open';
 		if (!isBusy || signal.aborted || services.clock.readNow() + MAX_PAUSE_MS >= running.deadline) {
 			return end;
 		}
 
+		isOpen = true;
 		await waitBeforeRetry(services, running, signal);
 	}
 }
 
 /** Rolls a transaction back and gives its connection back; the caller does not wait for it. */
 export function releaseTransaction(services: SessionServices, loan: Loan): void {
-	const {upstream} = loan.connection;
-	if (!upstream.isOpen()) {
-		loan.release(false);
-		return;
-	}
-
 	const deadline: Deadline = services.clock.readNow() + READ_PATIENCE_MS;
-	upstream.exchange([{kind: 'rollback'}], deadline).then(([answer]) => {
-		loan.release(answer?.state === 'idle');
-	}, (error: unknown) => {
-		services.writeEvent('rollback_lost', {database: upstream.database, reason: String(error)});
-		loan.release(false);
+	void loan.rollBack(deadline).catch((error: unknown) => {
+		services.writeEvent('rollback_lost', {database: loan.database, reason: String(error)});
 	});
 }
 
@@ -186,7 +185,7 @@
 			priority: running.route.priority,
 			deadline: running.deadline,
 			signal,
-			isSuited: connection => hasSameVariables(connection, state.variables),
+			variables: state.variables,
 		});
 	} catch (error) {
 		if (!(error instanceof UpstreamError)) {
--- a/packages/heatherpond-session/src/transaction-run.ts
+++ b/packages/heatherpond-session/src/transaction-run.ts
@@ -1,6 +1,5 @@
 /** Runs statements in a caller's open transaction, and settles what their answers mean for it. */
 import type {Deadline, Teardown} from 'heatherpond-core';
-import {collectSetup} from './connection-setup.js';
 import {findNewerPoint} from './log-order.js';
 import {createRefusal} from './refusal.js';
 import type {RunningStatement} from './running-statement.js';
@@ -8,10 +7,10 @@
 import type {SessionReply} from './session-reply.js';
 import type {Primary, SessionServices} from './session-services.js';
 import {
-	readTransactionState, type OpenTransaction, type SessionState, type StatementPlan,
+	readTransactionState, type OpenTransaction, type SessionState,
 } from './session-state.js';
 import {endTransaction, exchangeInTransaction} from './statement-attempts.js';
-import {exchangeSetup, type ExchangeEnd} from './statement-exchange.js';
+import {exchangeStep, type ExchangeEnd} from './statement-exchange.js';
 import type {UpstreamAnswer} from './upstream-connection.js';
 
 /** Who calls. */
@@ -37,8 +36,8 @@
 	const input = {
 		services, loan: transaction.loan, primary: transaction.primary, deadline: running.deadline,
 	};
-	const setup = running.prepared ? collectSetup(transaction.loan.connection, {variables: session.state.variables, statement: running.prepared}) : [];
-	const end = await exchangeSetup(input, setup) ?? await exchangeInTransaction({services, running, signal}, input);
+	const needs = running.prepared && {variables: session.state.variables, statement: running.prepared};
+	const end = await exchangeInTransaction({services, running, signal}, input, {needs});
 	if (end.kind === 'answered') {
 		return applyTransactionAnswer(session, running, transaction, end.answer);
 	}
@@ -78,7 +77,7 @@
 }
 
 /** Sets a value, also on the connection of an open transaction. */
-export async function runVariable(session: Session, {name, value}: Extract<StatementPlan, {kind: 'variable'}>, timeoutMs: number): Promise<SessionReply> {
+export async function runVariable(session: Session, timeoutMs: number): Promise<SessionReply> {
 	const {state, services} = session;
 	if (state.phase.kind !== 'open') {
 		return createDoneReply(session);
@@ -86,9 +85,9 @@
 
 	const {transaction} = state.phase;
 	const deadline: Deadline = services.clock.readNow() + timeoutMs;
-	const end = await exchangeSetup({
+	const end = await exchangeStep({
 		services, loan: transaction.loan, primary: transaction.primary, deadline,
-	}, [{kind: 'set', name, value}]);
+	}, {needs: {variables: state.variables}});
 	if (!end) {
 		return createDoneReply(session);
 	}
