Metrics of a host on the address of the settings, and heatherpondctl explain and check-settings

Refusals name route, team and group. explain reads the saved logs of all processes and tells the cause of one request; of the kinds refused within a limit, unknown around a failover, contracts not verified, no proven primary, attempts that failed. check-settings names each fault by place, value and what is allowed.

--- /dev/null
+++ b/packages/heatherpond-ctl/src/__tests__/unit/files.test.ts
@@ -0,0 +1,65 @@
+import {describe, expect, test} from '@jest/globals';
+import {createFakeClock} from 'heatherpond-core';
+import {executeCtl, EXIT} from '../../index.js';
+
+type CtlAnswer = {readonly exitCode: number; readonly output: string; readonly error: string};
+
+async function runCtl(args: readonly string[], files: Readonly<Record<string, string>>): Promise<CtlAnswer> {
+	const output: string[] = [];
+	const errors: string[] = [];
+	const exitCode = await executeCtl(args, {
+		env: {},
+		async readFile(path) {
+			const text = files[path];
+			if (text === undefined) {
+				throw new Error('no such file');
+			}
+
+			return text;
+		},
+		writeOutput(line) {
+			output.push(line);
+		},
+		writeError(line) {
+			errors.push(line);
+		},
+		clock: createFakeClock(0),
+		createId: () => 'unused',
+		createKey: () => 'unused',
+		signal: new AbortController().signal,
+	});
+	return {exitCode, output: output.join('\n'), error: errors.join('\n')};
+}
+
+const LOG = 'time=2026-07-09T18:45:21.042Z level=info event=statement_refused host=front-1 domain=a request=r1 session=s-1 code=busy reason="the team is over its rate" retry_after_ms=90';
+
+describe('heatherpondctl explain', () => {
+	test('tells the cause of a request, for people and for programs', async () => {
+		const files = {'a.log': '', 'b.log': LOG};
+		const answer = await runCtl(['explain', 'r1', '--log', 'a.log', '--log', 'b.log'], files);
+		expect(answer).toMatchObject({exitCode: EXIT.done, error: ''});
+		expect(answer.output).toContain('cause: the team was over its limit');
+		const json = await runCtl(['explain', 'r1', '--log', 'b.log', '--json'], files);
+		expect(JSON.parse(json.output)).toMatchObject({request: 'r1', host: 'front-1'});
+	});
+
+	test('says so when no line names the request, or a file cannot be read', async () => {
+		expect(await runCtl(['explain', 'r2', '--log', 'b.log'], {'b.log': LOG})).toMatchObject({exitCode: EXIT.failed, error: expect.stringContaining('no line names the request r2')});
+		expect(await runCtl(['explain', 'r1', '--log', 'none.log'], {})).toMatchObject({exitCode: EXIT.badInput, error: expect.stringContaining('none.log: the file cannot be read')});
+		expect(await runCtl(['explain', 'r1'], {})).toMatchObject({exitCode: EXIT.badInput});
+	});
+});
+
+describe('heatherpondctl check-settings', () => {
+	test('accepts a file that can be used', async () => {
+		expect(await runCtl(['check-settings', 'ctl.toml', '--program', 'ctl'], {'ctl.toml': 'author = "ops"\n'})).toMatchObject({exitCode: EXIT.done, output: 'ctl.toml: can be used by ctl'});
+	});
+
+	test('names place, value and what is allowed', async () => {
+		const answer = await runCtl(['check-settings', 'ctl.toml', '--program', 'ctl'], {'ctl.toml': 'author = 3\nauhtor = "ops"\n'});
+		expect(answer.exitCode).toBe(EXIT.badInput);
+		expect(answer.error).toContain('author has the value 3');
+		expect(answer.error).toContain('auhtor');
+		expect(answer.error).toContain('allowed keys:');
+	});
+});
--- a/packages/heatherpond-ctl/src/ctl.ts
+++ b/packages/heatherpond-ctl/src/ctl.ts
@@ -4,6 +4,8 @@
 import {createHostsCommand, createStatusCommand} from './commands/fleet-commands.js';
 import {createGroupCommands} from './commands/group-commands.js';
 import {createKeyCommands} from './commands/key-commands.js';
+import {createCheckSettingsCommand} from './check-settings-command.js';
+import {createExplainCommand} from './explain-command.js';
 import {createTimelineCommand} from './timeline-command.js';
 import {createTopCommand} from './top-command.js';
 import {createUpstreamCommands} from './commands/upstream-commands.js';
@@ -24,6 +26,8 @@
 			status: createStatusCommand(ctl),
 			timeline: createTimelineCommand(ctl),
 			top: createTopCommand(ctl),
+			explain: createExplainCommand(ctl),
+			'check-settings': createCheckSettingsCommand(ctl),
 		},
 	});
 }
--- a/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
+++ b/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
@@ -181,6 +181,7 @@
 			writeEvent(event, fields) {
 				events.push(`${clock.readNow()} ${name} ${event} ${JSON.stringify(fields)}`);
 			},
+			recordStatement: () => undefined,
 			random() {
 				draws++;
 				return (draws * 0.618) % 1;
--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -15,6 +15,7 @@
 import {
 	applySuspension, EMPTY_FLEET_STATE, type FleetBlackboard, type FleetState,
 } from './fleet-state.js';
+import {createHostFigures, type HostFigure} from './host-figures.js';
 import {isLapsed, isReady, isVerifiedLately} from './host-readiness.js';
 import type {HostLinkPort} from './host-links.js';
 import {createHostMessages, type DatagramPort} from './host-messages.js';
@@ -48,6 +49,8 @@
 	readonly links: HostLinkPort;
 	readonly openConnection: (upstream: Upstream, team: string, deadline: Deadline) => Promise<UpstreamConnection>;
 	readonly writeEvent: WriteEvent;
+	/** Takes note of how each statement fared. */
+	readonly recordStatement: SessionServices['recordStatement'];
 	readonly random: () => number;
 	readonly readRegion: (domain: string) => string;
 	/** Milliseconds within which a withdrawn key stops to work. */
@@ -64,6 +67,8 @@
 export type FleetHost = {
 	readonly sessions: SessionServices;
 	readonly blackboard: FleetBlackboard;
+	/** Figures for the metrics. */
+	readonly figures: readonly HostFigure[];
 	/** Decides whether new callers are to come here. */
 	readonly isReady: () => boolean;
 	/** Waits until contracts are known, at most until the deadline. */
@@ -168,10 +173,17 @@
 		return blackboard.read();
 	}
 
+	function isHostReady(): boolean {
+		const state = readState();
+		const now = clock.readNow();
+		const isWhole = isVerifiedLately(state, now) && !isLapsed(state, now);
+		return isReady(state, options.revocationMs, now) && (isWhole || !usage.exchange!.isVerifiedElsewhere());
+	}
+
 	return {
 		blackboard,
 		sessions: {
-			clock, positions, upstreams, writeEvent, random,
+			clock, positions, upstreams, writeEvent, random, recordStatement: options.recordStatement,
 			access: {
 				decideAccess(database, key) {
 					const state = readState();
@@ -196,12 +208,10 @@
 			admission: limits,
 			readIdleTransactionMs: () => blackboard.read().contracts?.idleTransactionMs ?? DEFAULT_IDLE_TRANSACTION_MS,
 		},
-		isReady() {
-			const state = readState();
-			const now = clock.readNow();
-			const isWhole = isVerifiedLately(state, now) && !isLapsed(state, now);
-			return isReady(state, options.revocationMs, now) && (isWhole || !usage.exchange!.isVerifiedElsewhere());
-		},
+		figures: createHostFigures({
+			clock, blackboard, upstreams, isReady: isHostReady,
+		}),
+		isReady: isHostReady,
 		async waitForContracts(deadline) {
 			await waitForState({blackboard, clock}, state => state.contracts !== undefined && Number.isFinite(state.contractsVerifiedAt), deadline, signal);
 		},
--- /dev/null
+++ b/packages/heatherpond-observe/src/__tests__/unit/statement-metrics.test.ts
@@ -0,0 +1,35 @@
+import {describe, expect, test} from '@jest/globals';
+import {createStatementMetrics} from '../../index.js';
+
+describe('the metrics of statements', () => {
+	test('count by route, outcome and database, with quantiles', async () => {
+		const metrics = createStatementMetrics([{name: 'heatherpond_sessions', help: 'Open sessions', read: () => 3}]);
+		Array.from({length: 99}).forEach(() => {
+			metrics.recordStatement({
+				route: 'shop', outcome: 'served', database: 'db-1', elapsedMs: 2,
+			});
+		});
+		metrics.recordStatement({
+			route: 'shop', outcome: 'served', database: 'db-1', elapsedMs: 500,
+		});
+		metrics.recordStatement({route: 'shop', outcome: 'busy', elapsedMs: 1});
+		const text = await metrics.renderMetrics();
+		expect(text).toContain('heatherpond_statements_total{route="shop",outcome="served",database="db-1"} 100');
+		expect(text).toContain('heatherpond_statements_total{route="shop",outcome="busy",database=""} 1');
+		expect(text).toContain('heatherpond_sessions 3');
+		const longest = /quantile="0.999"\} ([\d.]+)/v.exec(text)?.[1];
+		expect(Number(longest)).toBeGreaterThan(490);
+	});
+
+	test('keep a bounded number of series', async () => {
+		const metrics = createStatementMetrics([]);
+		Array.from({length: 2000}, (_, index) => index).forEach(index => {
+			metrics.recordStatement({
+				route: `route-${index}`, outcome: 'served', database: 'db-1', elapsedMs: 1,
+			});
+		});
+		const text = await metrics.renderMetrics();
+		expect(text.split('\n').filter(line => line.startsWith('heatherpond_statements_total')).length).toBeLessThanOrEqual(401);
+		expect(text).toContain('heatherpond_statements_total{route="other",outcome="served",database="other"} 1600');
+	});
+});
--- a/packages/heatherpond-observe/src/metrics.ts
+++ b/packages/heatherpond-observe/src/metrics.ts
@@ -1,7 +1,10 @@
 /** Metrics of one host: histograms by stage, team and group, refusals by reason, and gauges read when asked for. */
-import {build, type Histogram} from 'hdr-histogram-js';
+import type {Histogram} from 'hdr-histogram-js';
 import type {MetricsRecorder, MetricSubject, RequestStage} from 'heatherpond-core';
 import {Counter, Gauge, Registry} from 'prom-client';
+import {
+	createHistogram, MICROSECONDS, QUANTILES, applyDuration,
+} from './duration-histogram.js';
 
 /** A figure that is read when metrics are asked for. */
 export type GaugeSource = {
@@ -19,10 +22,6 @@
 
 type Series = MetricSubject & {readonly stage: RequestStage; readonly histogram: Histogram};
 
-const MICROSECONDS = 1000;
-const MAX_DURATION_US = 60_000_000;
-const SIGNIFICANT_DIGITS = 2;
-const QUANTILES = [0.5, 0.9, 0.99, 0.999];
 /** Series that a host keeps; requests of further teams and groups are counted together as `other`. */
 const MAX_SERIES = 1000;
 const OTHER: MetricSubject = {team: 'other', group: 'other'};
@@ -51,7 +50,7 @@
 		}
 
 		const created: Series = {
-			stage, team, group, histogram: build({lowestDiscernibleValue: 1, highestTrackableValue: MAX_DURATION_US, numberOfSignificantValueDigits: SIGNIFICANT_DIGITS}),
+			stage, team, group, histogram: createHistogram(),
 		};
 		series.set(key, created);
 		return created;
@@ -59,7 +58,7 @@
 
 	return {
 		recordDuration(stage, subject, elapsedMs) {
-			findSeries(stage, subject).histogram.recordValue(Math.min(MAX_DURATION_US, Math.max(0, Math.round(elapsedMs * MICROSECONDS))));
+			applyDuration(findSeries(stage, subject).histogram, elapsedMs);
 		},
 		countRefusal({team, group}, reason) {
 			refusals.inc({team, group, reason});
@@ -69,7 +68,8 @@
 	};
 }
 
-function registerGauge(registry: Registry, name: string, help: string, read: () => number): void {
+/** Registers a figure that is read when metrics are asked for. */
+export function registerGauge(registry: Registry, name: string, help: string, read: () => number): void {
 	// eslint-disable-next-line no-new
 	new Gauge({
 		name, help, registers: [registry], collect() {
--- /dev/null
+++ b/packages/heatherpond-observe/src/statement-metrics.ts
@@ -0,0 +1,84 @@
+/** Metrics of the statements of one host, by route, outcome and database. */
+import type {Histogram} from 'hdr-histogram-js';
+import {Counter, Gauge, Registry} from 'prom-client';
+import {
+	createHistogram, MICROSECONDS, QUANTILES, applyDuration,
+} from './duration-histogram.js';
+import {registerGauge, type GaugeSource} from './metrics.js';
+
+/** One statement that has been answered. */
+export type MeasuredStatement = {
+	readonly route: string;
+	readonly outcome: string;
+	/** Database that answered; absent when none did. */
+	readonly database?: string;
+	readonly elapsedMs: number;
+};
+
+/** Metrics of one host. */
+export type StatementMetrics = {
+	readonly recordStatement: (statement: MeasuredStatement) => void;
+	/** Renders everything in the usual exposition format. */
+	readonly renderMetrics: () => Promise<string>;
+	readonly contentType: string;
+};
+
+type Labels = {readonly route: string; readonly outcome: string; readonly database: string};
+type Series = {readonly labels: Labels; readonly histogram: Histogram};
+
+/** Series that a host keeps; statements of further routes are counted together. */
+const MAX_SERIES = 400;
+const OTHER = 'other';
+const LABEL_NAMES = ['route', 'outcome', 'database'];
+
+/** Creates the metrics of a host. */
+export function createStatementMetrics(gauges: readonly GaugeSource[]): StatementMetrics {
+	const registry = new Registry();
+	const series = new Map<string, Series>();
+	const statements = new Counter({
+		name: 'heatherpond_statements_total', help: 'Statements that were answered', labelNames: LABEL_NAMES, registers: [registry],
+	});
+	registerDurations(registry, series);
+	gauges.forEach(({name, help, read}) => {
+		registerGauge(registry, name, help, read);
+	});
+
+	function findSeries(labels: Labels): Series {
+		const key = `${labels.route} ${labels.outcome} ${labels.database}`;
+		const known = series.get(key);
+		if (known) {
+			return known;
+		}
+
+		if (series.size >= MAX_SERIES && labels.route !== OTHER) {
+			return findSeries({...labels, route: OTHER, database: OTHER});
+		}
+
+		const created: Series = {labels, histogram: createHistogram()};
+		series.set(key, created);
+		return created;
+	}
+
+	return {
+		recordStatement({route, outcome, database = '', elapsedMs}) {
+			const {labels, histogram} = findSeries({route, outcome, database});
+			statements.inc(labels);
+			applyDuration(histogram, elapsedMs);
+		},
+		renderMetrics: async () => registry.metrics(),
+		contentType: registry.contentType,
+	};
+}
+
+function registerDurations(registry: Registry, series: ReadonlyMap<string, Series>): void {
+	// eslint-disable-next-line no-new
+	new Gauge({
+		name: 'heatherpond_statement_duration_milliseconds', help: 'Quantiles of the time from a statement to its answer', labelNames: [...LABEL_NAMES, 'quantile'], registers: [registry], collect() {
+			series.forEach(({labels, histogram}) => {
+				QUANTILES.forEach(quantile => {
+					this.set({...labels, quantile}, histogram.getValueAtPercentile(quantile * 100) / MICROSECONDS);
+				});
+			});
+		},
+	});
+}
--- a/packages/heatherpond-session/src/__tests__/support/test-services.ts
+++ b/packages/heatherpond-session/src/__tests__/support/test-services.ts
@@ -2,7 +2,7 @@
 import {createFakeClock, type FakeClock} from 'heatherpond-core';
 import {
 	createConnectionPool, createPositionBook, createUpstreamError, type ConnectionPool, type PositionBook, type Primary, type SessionRoute, type SessionServices,
-	type Statement, type StatementAction, type UpstreamAnswer, type UpstreamCommand, type UpstreamConnection, type UpstreamErrorCode,
+	type Statement, type StatementAction, type StatementObservation, type UpstreamAnswer, type UpstreamCommand, type UpstreamConnection, type UpstreamErrorCode,
 } from '../../index.js';
 
 /** What a scripted database does with a command. */
@@ -23,6 +23,7 @@
 	readonly services: SessionServices;
 	readonly positions: PositionBook;
 	readonly seen: SeenCommand[];
+	readonly observed: StatementObservation[];
 	/** Decides what a database does; the default completes everything. */
 	script: (seen: SeenCommand) => ScriptedEnd | undefined;
 	primary: Primary | undefined;
@@ -58,6 +59,7 @@
 	const clock = createFakeClock(10_000);
 	const positions = createPositionBook();
 	const seen: SeenCommand[] = [];
+	const observed: StatementObservation[] = [];
 	const failedAt = new Map<string, number>();
 	let connections = 0;
 	let primaryWork = 0;
@@ -133,7 +135,7 @@
 	const test: TestServices = {
 		clock,
 		positions,
-		seen,
+		seen, observed,
 		script: () => undefined,
 		primary: {group: 'g', database: 'db-1', term: 1},
 		isProven: true,
@@ -179,6 +181,9 @@
 			},
 			admission: {admit: async () => test.admitsAfterMs},
 			writeEvent: () => undefined,
+			recordStatement(observation) {
+				observed.push(observation);
+			},
 			random: () => 0.5,
 			readIdleTransactionMs: () => 3000,
 		},
--- a/packages/heatherpond-session/src/__tests__/unit/caller-session.test.ts
+++ b/packages/heatherpond-session/src/__tests__/unit/caller-session.test.ts
@@ -25,6 +25,22 @@
 	return seen.map(({database, command}) => `${database} ${command.kind}`);
 }
 
+describe('what is told of statements for metrics', () => {
+	test('is their route, outcome, database and time', async () => {
+		const fixture = createTestServices();
+		const {run} = startSession(fixture);
+		await run(READ);
+		await run(BEGIN);
+		await run(ROLLBACK);
+		fixture.admitsAfterMs = 70;
+		await run(WRITE);
+		expect(fixture.observed).toMatchObject([
+			{route: 'shop', outcome: 'served', database: 'db-1'}, {route: 'shop', outcome: 'done'}, {route: 'shop', outcome: 'done'}, {route: 'shop', outcome: 'busy'},
+		]);
+		expect(fixture.observed[0]!.elapsedMs).toBeGreaterThan(0);
+	});
+});
+
 describe('a single statement', () => {
 	test('goes to the proven primary of a primary route, and its answer is passed on untouched', async () => {
 		const fixture = createTestServices();
--- a/packages/heatherpond-session/src/caller-session.ts
+++ b/packages/heatherpond-session/src/caller-session.ts
@@ -4,7 +4,7 @@
 import type {RunningStatement} from './running-statement.js';
 import {createRefusedError, RefusedError} from './session-error.js';
 import type {SessionReply} from './session-reply.js';
-import type {SessionAccess, SessionServices} from './session-services.js';
+import type {SessionAccess, SessionServices, StatementObservation} from './session-services.js';
 import {
 	applyStatement, createSessionState, readTransactionState, type OpenTransaction, type SessionPhase, type SessionState, type StatementPlan,
 } from './session-state.js';
@@ -42,6 +42,7 @@
 		async run(statement, arrivedAt) {
 			session.stopIdleTimer?.();
 			const reply = await runStatement(session, statement, arrivedAt);
+			services.recordStatement(createObservation(caller, reply, services.clock.readNow() - arrivedAt));
 			registerIdleTimer(session);
 			return reply;
 		},
@@ -57,13 +58,31 @@
 	};
 }
 
+function createObservation({database}: SessionCaller, reply: SessionReply, elapsedMs: number): StatementObservation {
+	switch (reply.kind) {
+		case 'answer': {
+			return {
+				route: database, outcome: reply.isError ? 'failed' : 'served', database: reply.database, elapsedMs,
+			};
+		}
+
+		case 'done': {
+			return {route: database, outcome: 'done', elapsedMs};
+		}
+
+		case 'refused': {
+			return {route: database, outcome: reply.refusal.code, elapsedMs};
+		}
+	}
+}
+
 async function runStatement(session: Session, statement: Statement, arrivedAt: Instant): Promise<SessionReply> {
 	const {services, caller, state} = session;
 	const access = services.access.decideAccess(caller.database, caller.key);
 	if (access.kind === 'refuse') {
 		failTransaction(session, access.reason);
 		state.phase = {kind: 'idle'};
-		return refuse(session, statement, createAccessRefusal(access.reason), access.reason !== 'unverified');
+		return refuse(session, statement, createAccessRefusal(access.reason), {endsSession: access.reason !== 'unverified'});
 	}
 
 	try {
@@ -73,7 +92,7 @@
 			throw error;
 		}
 
-		return refuse(session, statement, error.refusal, false);
+		return refuse(session, statement, error.refusal, {endsSession: false, access});
 	}
 }
 
@@ -107,7 +126,7 @@
 		}
 
 		case 'refused': {
-			return refuse(session, statement, plan.refusal, false);
+			return refuse(session, statement, plan.refusal, {endsSession: false, access});
 		}
 
 		case 'rollback': {
@@ -203,13 +222,13 @@
 	}
 }
 
-async function endSingle(session: Session, running: RunningStatement, answer: UpstreamAnswer, {primary}: StatementTarget): Promise<SessionReply> {
+async function endSingle(session: Session, running: RunningStatement, answer: UpstreamAnswer, {primary, database}: StatementTarget): Promise<SessionReply> {
 	if (running.access === 'write' && answer.outcome.kind === 'complete') {
 		await waitForProof(session, running, primary!);
 		session.state.ownPoint = findNewerPoint(session.state.ownPoint, answer.point);
 	}
 
-	return createAnswerReply(session, running, answer);
+	return createAnswerReply(session, running, answer, database);
 }
 
 /** A transaction holds a scarce connection; it may not wait for its caller for ever. */
@@ -222,9 +241,9 @@
 	}
 }
 
-function refuse({state, services, caller}: Session, statement: Statement, refusal: Refusal, endsSession: boolean): SessionReply {
+function refuse({state, services, caller}: Session, statement: Statement, refusal: Refusal, {endsSession, access}: {readonly endsSession: boolean; readonly access?: AllowedAccess}): SessionReply {
 	services.writeEvent('statement_refused', {
-		request: statement.id, session: caller.sessionId, code: refusal.code, reason: refusal.reason, retry_after_ms: refusal.retryAfterMs,
+		request: statement.id, session: caller.sessionId, route: caller.database, team: access?.team, group: access?.route.group, code: refusal.code, reason: refusal.reason, retry_after_ms: refusal.retryAfterMs,
 	});
 	return {
 		kind: 'refused', refusal, state: readTransactionState(state), endsSession,
--- a/packages/heatherpond-session/src/session-services.ts
+++ b/packages/heatherpond-session/src/session-services.ts
@@ -58,6 +58,18 @@
 /** Writes one event. */
 export type WriteEvent = (event: string, fields: Readonly<Record<string, string | number | boolean | undefined>>) => void;
 
+/** How one statement fared, for metrics. */
+export type StatementObservation = {
+	/** Logical database that the caller connected to. */
+	readonly route: string;
+	/** `served`, `failed`, `done` without a database, or the code of a refusal. */
+	readonly outcome: string;
+	/** Database that answered. */
+	readonly database?: string;
+	/** Milliseconds from the statement's arrival to its answer. */
+	readonly elapsedMs: number;
+};
+
 /** What the sessions of one process share. */
 export type SessionServices = {
 	readonly clock: Clock;
@@ -67,6 +79,7 @@
 	readonly admission: AdmissionPort;
 	readonly positions: PositionBook;
 	readonly writeEvent: WriteEvent;
+	readonly recordStatement: (observation: StatementObservation) => void;
 	/** Draws a number from 0, inclusive, to 1, exclusive. */
 	readonly random: () => number;
 	/** Milliseconds for which a transaction may wait for its caller. */
--- a/packages/heatherpond-session/src/transaction-run.ts
+++ b/packages/heatherpond-session/src/transaction-run.ts
@@ -50,7 +50,7 @@
 	const {state, services} = session;
 	transaction.hasWritten ||= running.access === 'write' && running.statement.action.kind !== 'commit';
 	if (answer.state === 'open') {
-		return createAnswerReply(session, running, answer);
+		return createAnswerReply(session, running, answer, transaction.database);
 	}
 
 	endTransaction(services, transaction, answer.state === 'idle');
@@ -61,7 +61,7 @@
 		state.ownPoint = findNewerPoint(state.ownPoint, answer.point);
 	}
 
-	return createAnswerReply(session, running, answer);
+	return createAnswerReply(session, running, answer, transaction.database);
 }
 
 /** A transaction that got no answer is over; only its commit can have left something. */
@@ -128,14 +128,14 @@
 }
 
 /** Creates the reply that passes a database's answer on. */
-export function createAnswerReply({state, services, caller}: Session, running: RunningStatement, answer: UpstreamAnswer): SessionReply {
+export function createAnswerReply({state, services, caller}: Session, running: RunningStatement, answer: UpstreamAnswer, database: string): SessionReply {
 	if (answer.outcome.kind === 'error') {
 		services.writeEvent('statement_failed', {
-			request: running.statement.id, session: caller.sessionId, team: running.team, group: running.route.group, code: answer.outcome.code,
+			request: running.statement.id, session: caller.sessionId, team: running.team, group: running.route.group, database, code: answer.outcome.code,
 		});
 	}
 
 	return {
-		kind: 'answer', body: answer.body, state: readTransactionState(state), point: answer.point,
+		kind: 'answer', body: answer.body, state: readTransactionState(state), point: answer.point, database, isError: answer.outcome.kind === 'error',
 	};
 }
