Give up a write whose connection has gone silent with all its siblings

A connection without siblings, or whose siblings answer, is waited for as before: the write may only be slow. Test: upstream-faults.test.ts; the first case waits in vain without the change.

--- a/packages/heatherpond-core/src/fleet-event.ts
+++ b/packages/heatherpond-core/src/fleet-event.ts
@@ -20,6 +20,7 @@
 	'requestRefused',
 	'requestRouted',
 	'requestRetried',
+	'requestGivenUp',
 	'requestAnswered',
 	'requestUnknown',
 	'proofObtained',
--- a/packages/heatherpond-postgres/src/__tests__/unit/upstream-faults.test.ts
+++ b/packages/heatherpond-postgres/src/__tests__/unit/upstream-faults.test.ts
@@ -155,6 +155,47 @@
 		expect(answer.rows[0]!.value).toBe('a');
 	});
 
+	test('leaves the outcome of a write unknown soon, when its siblings have gone silent as well', async () => {
+		await fixture.stop();
+		fixture = await startTestGroup({members: databases.map(database => database.member), limits: {silenceMs: 150, requestTimeoutMs: 600_000}});
+		const primary = databases[0]!;
+		const clients = await Promise.all([fixture.openClient(), fixture.openClient()]);
+		await Promise.all(clients.map(async client => client.query('INSERT INTO t VALUES (1)')));
+		await waitFor(() => fixture.pools.countIdle() > 1, 'two connections');
+		const silenced = new Set(primary.sockets);
+		primary.updateScript((_frame, socket) => {
+			if (!silenced.has(socket)) {
+				answerRow(socket, '1:100');
+			}
+		});
+		const startedAt = Date.now();
+		await expect(clients[0].query('INSERT INTO t VALUES (2)')).rejects.toMatchObject({code: 'HP002'});
+		expect(Date.now() - startedAt).toBeLessThan(3000);
+	});
+
+	test('is waited for when its siblings answer: the write may only be slow', async () => {
+		await fixture.stop();
+		fixture = await startTestGroup({members: databases.map(database => database.member), limits: {silenceMs: 100, requestTimeoutMs: 600_000}});
+		const primary = databases[0]!;
+		const clients = await Promise.all([fixture.openClient(), fixture.openClient()]);
+		await Promise.all(clients.map(async client => client.query('INSERT INTO t VALUES (1)')));
+		await waitFor(() => fixture.pools.countIdle() > 1, 'two connections');
+		let slow: Parameters<typeof answerRow>[0] | undefined;
+		primary.updateScript((frame, socket) => {
+			if (slow === undefined && frame.type === FRONTEND.query) {
+				slow = socket;
+			} else {
+				answerRow(socket, '1:100');
+			}
+		});
+		const writing = clients[0].query('INSERT INTO t VALUES (2)');
+		await new Promise<void>(resolve => {
+			setTimeout(resolve, 1500);
+		});
+		answerRow(slow!, '1:200');
+		await expect(writing).resolves.toBeDefined();
+	});
+
 	test('while idle is found by a ping and destroyed', async () => {
 		const client = await fixture.openClient();
 		await client.query('SELECT value FROM t');
--- a/packages/heatherpond-postgres/src/__tests__/unit/upstream-pool.test.ts
+++ b/packages/heatherpond-postgres/src/__tests__/unit/upstream-pool.test.ts
@@ -158,7 +158,7 @@
 		const loan = await pool.acquire({deadline: 100, signal: stop.signal});
 		loan.release(true);
 		isSilent = true;
-		pool.checkIdle(0);
+		void pool.checkIdle(0);
 		clock.advanceBy(1000);
 		await waitForTurn();
 		expect([opened[0]!.isOpen(), pool.countOpen()]).toEqual([false, 0]);
@@ -167,7 +167,7 @@
 	test('keeps an idle connection that answers a ping', async () => {
 		const loan = await pool.acquire({deadline: 100, signal: stop.signal});
 		loan.release(true);
-		pool.checkIdle(0);
+		void pool.checkIdle(0);
 		await waitForTurn();
 		expect([pool.countIdle(), pool.countOpen()]).toEqual([1, 1]);
 	});
--- a/packages/heatherpond-postgres/src/upstream-pool.ts
+++ b/packages/heatherpond-postgres/src/upstream-pool.ts
@@ -4,7 +4,7 @@
  * neither be lost nor be taken by a later request.
  */
 import {serialize} from 'pg-protocol';
-import type {Clock} from 'heatherpond-core';
+import type {Clock, Instant} from 'heatherpond-core';
 import {applyPooledEvent, OPENED, type PooledState} from './pooled-connection.js';
 import {UpstreamError} from './postgres-error.js';
 import type {UpstreamConnection} from './upstream-connection.js';
@@ -28,22 +28,31 @@
 	readonly countIdle: () => number;
 	/** Serves waiters for whom there is room now, and closes what is over the cap or leaving. */
 	readonly refresh: () => void;
-	/** Pings connections that have been idle for `idleMs` milliseconds or longer and destroys those that are silent. */
-	readonly checkIdle: (idleMs: number) => void;
+	/** Pings connections that have been idle for `idleMs` milliseconds or longer and destroys those that are silent; resolves when all pings are over. */
+	readonly checkIdle: (idleMs: number) => Promise<void>;
+	/** Whether the connections that were open at an instant have gone silent, as pings of idle ones have shown lately. */
+	readonly isSilentSince: (instant: Instant) => boolean;
 };
 
-type Pooled = {readonly connection: UpstreamConnection; state: PooledState};
+type Pooled = {readonly connection: UpstreamConnection; readonly openedAt: Instant; state: PooledState};
+
+/** A ping that is over. */
+type Ping = {readonly openedAt: Instant; readonly endedAt: Instant; readonly isAnswered: boolean};
 
 type Waiter = {readonly resolve: (pooled: Pooled) => void; readonly reject: (error: unknown) => void};
 
 /** Milliseconds within which an idle connection must answer a ping. */
 const PING_TIMEOUT_MS = 500;
+/** Milliseconds for which pings count as evidence. */
+const EVIDENCE_MS = 3000;
 
 /** Creates an empty pool. */
 export function createUpstreamPool(options: UpstreamPoolOptions): UpstreamPool {
 	const {clock, open, readCap, isLeaving} = options;
 	const idle: Pooled[] = [];
 	const waiters = new Set<Waiter>();
+	const checks = new Set<Promise<void>>();
+	let pings: readonly Ping[] = [];
 	let openCount = 0;
 
 	function handleClose(pooled: Pooled): void {
@@ -77,7 +86,7 @@
 	async function openOne(): Promise<void> {
 		openCount++;
 		try {
-			const pooled: Pooled = {connection: await open(), state: OPENED};
+			const pooled: Pooled = {connection: await open(), openedAt: clock.readNow(), state: OPENED};
 			pooled.connection.registerCloseListener(() => {
 				handleClose(pooled);
 			});
@@ -169,6 +178,7 @@
 		try {
 			const {status} = await pooled.connection.exchange([serialize.sync()], () => undefined, clock.readNow() + PING_TIMEOUT_MS);
 			if (status === 'I') {
+				applyPing(pooled, true);
 				releaseConnection(pooled);
 				return;
 			}
@@ -176,9 +186,15 @@
 			// A connection that does not answer is destroyed below.
 		}
 
+		applyPing(pooled, false);
 		pooled.connection.destroy();
 	}
 
+	function applyPing({openedAt}: Pooled, isAnswered: boolean): void {
+		const endedAt = clock.readNow();
+		pings = [...pings.filter(ping => ping.endedAt > endedAt - EVIDENCE_MS), {openedAt, endedAt, isAnswered}];
+	}
+
 	return {
 		async acquire(acquireOptions) {
 			const pooled = (waiters.size === 0 ? takeIdle() : undefined) ?? await waitForConnection(acquireOptions);
@@ -193,13 +209,22 @@
 			});
 			answerWaiters();
 		},
-		checkIdle(idleMs) {
+		isSilentSince(instant) {
+			const now = clock.readNow();
+			const known = pings.filter(({openedAt, endedAt}) => openedAt < instant && endedAt > now - EVIDENCE_MS);
+			return known.length > 0 && known.every(({isAnswered}) => !isAnswered);
+		},
+		async checkIdle(idleMs) {
 			const now = clock.readNow();
 			const due = idle.filter(({state}) => state.kind === 'idle' && now - state.since >= idleMs);
 			due.forEach(pooled => {
 				idle.splice(idle.indexOf(pooled), 1);
-				void checkConnection(pooled);
+				const check = checkConnection(pooled).finally(() => {
+					checks.delete(check);
+				});
+				checks.add(check);
 			});
+			await Promise.all(checks);
 		},
 	};
 }
--- a/packages/heatherpond-postgres/src/upstream-pools.ts
+++ b/packages/heatherpond-postgres/src/upstream-pools.ts
@@ -1,6 +1,6 @@
 /** Pools of connections to databases, with a hard cap for each database. */
 import {
-	runPeriodically, type Clock, type Deadline, type Member,
+	runPeriodically, type Clock, type Deadline, type Instant, type Member,
 } from 'heatherpond-core';
 import {UpstreamError} from './postgres-error.js';
 import type {UpstreamCredentials} from './upstream-authentication.js';
@@ -30,7 +30,9 @@
 	/** Looks again at caps and leaving databases; called when the fleet's view changes. */
 	readonly refresh: () => void;
 	/** Pings the idle connections to a database now, because one connection to it has gone silent. */
-	readonly checkIdle: (group: string, member: Member) => void;
+	readonly checkIdle: (group: string, member: Member) => Promise<void>;
+	/** Whether the connections to a database that were open at an instant have gone silent. */
+	readonly isSilentSince: (group: string, member: Member, instant: Instant) => boolean;
 };
 
 /** How pools run. */
@@ -84,7 +86,7 @@
 	void runPeriodically(clock, ROUND_INTERVAL_MS, async () => {
 		updatePools();
 		[...pools.values()].forEach(pool => {
-			pool.checkIdle(ROUND_INTERVAL_MS);
+			void pool.checkIdle(ROUND_INTERVAL_MS);
 		});
 	}, signal);
 	signal.addEventListener('abort', updatePools, {once: true});
@@ -99,8 +101,7 @@
 		countOpen: () => [...pools.values()].reduce((sum, pool) => sum + pool.countOpen(), 0),
 		countIdle: () => [...pools.values()].reduce((sum, pool) => sum + pool.countIdle(), 0),
 		refresh: updatePools,
-		checkIdle(group, member) {
-			findPool(group, member).checkIdle(0);
-		},
+		checkIdle: async (group, member) => findPool(group, member).checkIdle(0),
+		isSilentSince: (group, member, instant) => findPool(group, member).isSilentSince(instant),
 	};
 }
