--- /dev/null
+++ b/packages/heatherpond-spec/src/store-primacy/store-primacy-specification.ts
@@ -0,0 +1,68 @@
+/** The specification of primacy on the store with its scopes and mutants. */
+import {createDuty, DUTY_MS, isProven} from 'heatherpond-fleet';
+import type {Mutant, Specification} from '../model.js';
+import {createStorePrimacyModel, STORE_PRIMACY_INVARIANTS, type StorePrimacyScope} from './store-primacy-model.js';
+import {STORE_PRIMACY_RULES, type StorePrimacyRules} from './store-primacy-rules.js';
+
+/** Two hosts that race to promote, one of which takes writes. */
+const RACE: StorePrimacyScope = {
+	hosts: ['p', 'q'], writers: ['q'], databases: ['a', 'b'], ticks: 2, crashes: 0, registers: false,
+};
+/** Promotions that pass from host to host, and whose orders are late. */
+const PASSED_ON: StorePrimacyScope = {
+	hosts: ['p', 'q'], writers: [], databases: ['a', 'b', 'c'], ticks: 2, crashes: 0, registers: false,
+};
+/** A promoter that starts anew. */
+const RESTARTED: StorePrimacyScope = {
+	hosts: ['p', 'q'], writers: [], databases: ['a', 'b', 'c'], ticks: 2, crashes: 1, registers: false,
+};
+const LONG: StorePrimacyScope = {
+	hosts: ['p', 'q'], writers: ['q'], databases: ['a', 'b', 'c'], ticks: 3, crashes: 1, registers: true,
+};
+
+type MutantText = Pick<Mutant, 'name' | 'rule' | 'code'>;
+
+function createMutant(text: MutantText, change: Partial<StorePrimacyRules>, scope: StorePrimacyScope = RACE): Mutant {
+	return {...text, createModel: () => createStorePrimacyModel(`store primacy, ${text.name}`, scope, {...STORE_PRIMACY_RULES, ...change})};
+}
+
+const MUTANTS: readonly Mutant[] = [
+	createMutant({name: 'store-acknowledged-without-lease', rule: 'a commit is acknowledged only under a lease', code: 'fleet/primacy.ts isProven'}, {
+		isProven: (state, {group}) => state.ownConfirmations.get(group) === undefined,
+	}),
+	createMutant({name: 'store-lease-through-promotion', rule: 'a lease does not run on while a promotion is under way', code: 'fleet/apply-fleet-news.ts readLeases'}, {
+		isLeaseRenewedBy: () => true,
+	}),
+	createMutant({name: 'store-no-wait-for-leases', rule: 'a promotion waits until every lease has ended, or every host has confirmed', code: 'fleet/promotion-run.ts waitForConfirmations'}, {
+		waitMs: 0,
+	}),
+	createMutant({name: 'store-waits-for-nobody', rule: 'a promotion waits for every host that may rely on a lease', code: 'fleet/promotion-choices.ts findLiveHosts'}, {
+		findLiveHosts: () => [],
+	}),
+	createMutant({name: 'store-registration-without-end', rule: 'a host whose registration has lapsed relies on no lease', code: 'fleet/primacy.ts isProven'}, {
+		isProven: (state, primary, now) => isProven({...state, registeredUntil: Number.POSITIVE_INFINITY, registeredAt: -1}, primary, now),
+		findLiveHosts: (hosts, now) => [...hosts.values()].filter(({refreshedAt}) => refreshedAt + 1000 > now).map(({host}) => host),
+	}),
+	createMutant({name: 'store-fence-stays', rule: 'the fence grows with each change of holder', code: 'fleet/duty.ts createDuty'}, {
+		createDuty: (state, identity, now) => ({...createDuty(state, identity, now, DUTY_MS), fence: 1}),
+	}, PASSED_ON),
+	createMutant({name: 'store-duty-used-on', rule: 'a holder stops to use the duty before others may take it', code: 'fleet/duty.ts readDutyDeadline'}, {
+		readDutyDeadline: () => Number.POSITIVE_INFINITY,
+	}, PASSED_ON),
+	createMutant({name: 'store-other-candidate', rule: 'after an order whose outcome is unknown the same database is named again', code: 'fleet/promotion-run.ts findNamed'}, {
+		findNamed: () => undefined,
+	}, PASSED_ON),
+	createMutant({name: 'store-no-conditions', rule: 'rows are written under the condition that nobody has changed them', code: 'fleet/promotion-run.ts writePrimacy'}, {
+		hasConditions: false,
+	}, PASSED_ON),
+];
+
+/** Primacy on the store: no replaced primary confirms a write, and one database takes over. */
+export const STORE_PRIMACY_SPECIFICATION: Specification = {
+	name: 'primacy on the store',
+	invariants: Object.values(STORE_PRIMACY_INVARIANTS),
+	createModels: size => size === 'default'
+		? [createStorePrimacyModel('store primacy, race', RACE, STORE_PRIMACY_RULES), createStorePrimacyModel('store primacy, passed on', PASSED_ON, STORE_PRIMACY_RULES), createStorePrimacyModel('store primacy, restarted', RESTARTED, STORE_PRIMACY_RULES)]
+		: [createStorePrimacyModel('store primacy, long', LONG, STORE_PRIMACY_RULES)],
+	mutants: MUTANTS,
+};
