Count a lease from a verification that was asked for at the very moment of the registration

A registration is in the store before its answer has come, so a question asked then includes it. Seen in the test of a store that has been away for a lease: registered and verified at one instant of the test's clock, and without a lease until the next question 1.5 s later.

--- a/packages/heatherpond-fleet/src/primacy.ts
+++ b/packages/heatherpond-fleet/src/primacy.ts
@@ -27,7 +27,7 @@
 /** Tells whether what a primary has committed may be acknowledged. */
 export function isProven(state: FleetState, primary: Primary, now: Instant): boolean {
 	const verifiedAt = state.leaseVerifiedAt.get(primary.group) ?? Number.NEGATIVE_INFINITY;
-	const isLeased = verifiedAt > state.registeredAt && now < verifiedAt + LEASE_MS && now < state.registeredUntil;
+	const isLeased = verifiedAt >= state.registeredAt && now < verifiedAt + LEASE_MS && now < state.registeredUntil;
 	return isLeased && !isReplaced(state, primary);
 }
 
