--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -4,7 +4,6 @@
 	createPositionBook, type SessionServices, type UpstreamConnection, type WriteEvent,
 } from 'heatherpond-session';
 import {decideAccess} from './access-decision.js';
-import {applyConfirmation, applyPrimacy, applySuspicion} from './apply-fleet-news.js';
 import {createDomainStore} from './domain-reader.js';
 import {startPromotionConfirmations} from './confirm-promotions.js';
 import type {Contracts} from './contracts.js';
@@ -16,12 +15,11 @@
 	applySuspension, EMPTY_FLEET_STATE, type FleetBlackboard, type FleetState,
 } from './fleet-state.js';
 import {createHostFigures, type HostFigure} from './host-figures.js';
-import {isLapsed, isReady, isVerifiedLately} from './host-readiness.js';
+import {createMessageHandlers} from './fleet-message-handlers.js';
+import {isLapsed, isReady, isWhole} from './host-readiness.js';
 import type {HostLinkPort} from './host-links.js';
 import {createHostMessages, type DatagramPort} from './host-messages.js';
-import {
-	applyHeardHost, applyLeftHost, removeRegistration, startHostRegistration,
-} from './host-registration.js';
+import {removeRegistration, startHostRegistration} from './host-registration.js';
 import {findPrimary, isProven, isReplaced} from './primacy.js';
 import {createPrimarySuspicion} from './primary-suspicion.js';
 import {createPrimaryWork} from './primary-work.js';
@@ -136,32 +134,14 @@
 	});
 	usage.exchange = startUsageExchange({
 		services, messages, signal,
-		readOwn: () => ({isVerified: isVerifiedLately(blackboard.read(), clock.readNow()) && !isLapsed(blackboard.read(), clock.readNow()), teams: limits.readUsage(), databases: upstreams.readUsage()}),
+		readOwn: () => ({isVerified: isWhole(blackboard.read(), clock.readNow()), teams: limits.readUsage(), databases: upstreams.readUsage()}),
 	});
 	const registration = startHostRegistration({
 		services, findReader, readHeardReports: usage.exchange.readHeardReports, findSentAt: usage.exchange.findSentAt, sendRegistered: messages.sendRegistered, signal,
 	});
-	messages.registerHandlers({
-		handleRegistered: registration.applyRegistered,
-		handleUsage(report, isRelayed) {
-			blackboard.update(state => report.hasLeft ? applyLeftHost(state, report) : applyHeardHost(state, report.host, clock.readNow()));
-			usage.exchange?.applyReport(report, isRelayed);
-		},
-		handlePrimacy(primacy) {
-			blackboard.update(state => applyPrimacy(state, primacy));
-		},
-		handleConfirmation(confirmation) {
-			blackboard.update(state => applyConfirmation(state, confirmation));
-		},
-		handleQuestion(table, after) {
-			checkSuspension(host);
-			return host.cache.readChanges(table, after, clock.readNow());
-		},
-		decideGrant: limits.decideGrant,
-		handleSuspicion(record, isSuspected) {
-			blackboard.update(state => applySuspicion(state, record, isSuspected));
-		},
-	});
+	messages.registerHandlers(createMessageHandlers({
+		host, limits, registration, exchange: usage.exchange,
+	}));
 	startPromotionConfirmations({...services, work, sendConfirmation: messages.sendConfirmation}, signal);
 	startPromotionController({
 		services, minDutyMs: options.minDutyMs, goesFirst: () => findReader() === undefined, signal,
@@ -176,8 +156,7 @@
 	function isHostReady(): boolean {
 		const state = readState();
 		const now = clock.readNow();
-		const isWhole = isVerifiedLately(state, now) && !isLapsed(state, now);
-		return isReady(state, options.revocationMs, now) && (isWhole || !usage.exchange!.isVerifiedElsewhere());
+		return isReady(state, options.revocationMs, now) && (isWhole(state, now) || !usage.exchange!.isVerifiedElsewhere());
 	}
 
 	return {
--- /dev/null
+++ b/packages/heatherpond-fleet/src/fleet-message-handlers.ts
@@ -0,0 +1,42 @@
+/** What a host does with messages of other hosts. */
+import {applyConfirmation, applyPrimacy, applySuspicion} from './apply-fleet-news.js';
+import {checkSuspension, type FollowedHost} from './fleet-followers.js';
+import {applyHeardHost, applyLeftHost} from './host-list.js';
+import type {HostMessageHandlers} from './host-messages.js';
+import type {HostRegistration} from './host-registration.js';
+import type {TeamLimits} from './team-limits.js';
+import type {UsageExchange} from './usage-exchange.js';
+
+/** Parts of the host that messages are for. */
+export type MessageReceivers = {
+	readonly host: FollowedHost;
+	readonly limits: Pick<TeamLimits, 'decideGrant'>;
+	readonly registration: HostRegistration;
+	readonly exchange: Pick<UsageExchange, 'applyReport'>;
+};
+
+/** Creates the handlers. */
+export function createMessageHandlers({host, limits, registration, exchange}: MessageReceivers): HostMessageHandlers {
+	const {blackboard, clock, cache} = host;
+	return {
+		handleRegistered: registration.applyRegistered,
+		handleUsage(report, isRelayed) {
+			blackboard.update(state => report.hasLeft ? applyLeftHost(state, report) : applyHeardHost(state, report.host, clock.readNow()));
+			exchange.applyReport(report, isRelayed);
+		},
+		handlePrimacy(primacy) {
+			blackboard.update(state => applyPrimacy(state, primacy));
+		},
+		handleConfirmation(confirmation) {
+			blackboard.update(state => applyConfirmation(state, confirmation));
+		},
+		handleSuspicion(record, isSuspected) {
+			blackboard.update(state => applySuspicion(state, record, isSuspected));
+		},
+		handleQuestion(table, after) {
+			checkSuspension(host);
+			return cache.readChanges(table, after, clock.readNow());
+		},
+		decideGrant: limits.decideGrant,
+	};
+}
--- a/packages/heatherpond-fleet/src/host-readiness.ts
+++ b/packages/heatherpond-fleet/src/host-readiness.ts
@@ -20,3 +20,8 @@
 	return !state.isStopping && state.contracts !== undefined && state.upstreams.size > 0 && state.primacies.size > 0
 		&& now < state.contractsVerifiedAt + revocationMs;
 }
+
+/** Decides whether a host has verified the contracts lately and is registered. */
+export function isWhole(state: FleetState, now: Instant): boolean {
+	return isVerifiedLately(state, now) && !isLapsed(state, now);
+}
--- a/packages/heatherpond-fleet/src/host-registration.ts
+++ b/packages/heatherpond-fleet/src/host-registration.ts
@@ -6,11 +6,9 @@
  */
 import {waitUntil, type Instant} from 'heatherpond-core';
 import type {FindReader} from './domain-reader.js';
-import {
-	hostSchema, HOSTS_TABLE, parseRecord, type HostRecord,
-} from './fleet-records.js';
+import {HOSTS_TABLE, type HostRecord} from './fleet-records.js';
 import type {FleetServices} from './fleet-services.js';
-import type {FleetState} from './fleet-state.js';
+import {applyFarHosts, applyHeardHost, readHosts} from './host-list.js';
 import type {RegisteredRun, RegistrationNews} from './host-messages.js';
 import {REGISTRATION_MS} from './promotion-choices.js';
 import {StoreError, type TablePage} from './store-port.js';
@@ -214,12 +212,6 @@
 	return far.slice(start, start + FAR_HOSTS_TOLD);
 }
 
-/** Takes note of hosts of other failure domains, as another host has read them. */
-function applyFarHosts(state: FleetState, farHosts: readonly HostRecord[]): FleetState {
-	const newer = farHosts.filter(({host, refreshedAt}) => (state.hosts.get(host)?.refreshedAt ?? Number.NEGATIVE_INFINITY) < refreshedAt);
-	return newer.length === 0 ? state : {...state, hosts: new Map([...state.hosts, ...newer.map(record => [record.host, record] as const)])};
-}
-
 /** Takes note that the host's registration was refreshed as of an instant, and that the store has accepted it. */
 function applyRefresh({blackboard, clock, writeEvent, refreshFleet, identity}: FleetServices, refreshedAt: Instant): void {
 	const now = clock.readNow();
@@ -234,26 +226,3 @@
 		refreshFleet();
 	}
 }
-
-/** Takes note that a host has been heard: its row is refreshed, whether or not this host has read it since. */
-export function applyHeardHost(state: FleetState, host: string, now: Instant): FleetState {
-	const known = state.hosts.get(host);
-	return known
-		? {...state, hosts: new Map([...state.hosts, [host, {...known, refreshedAt: Math.max(known.refreshedAt, Math.floor(now + state.storeClockOffset))}]])}
-		: {...state, hasUnknownHosts: true};
-}
-
-/** Takes note that a host has stopped to work; its row goes with it. */
-export function applyLeftHost(state: FleetState, {host, incarnation}: {readonly host: string; readonly incarnation: string}): FleetState {
-	return state.hosts.get(host)?.incarnation === incarnation
-		? {...state, hosts: new Map([...state.hosts].filter(([name]) => name !== host))}
-		: state;
-}
-
-/** Reads the hosts from the rows of their table. */
-export function readHosts(page: TablePage): ReadonlyMap<string, HostRecord> {
-	const records = page.rows
-		.map(({value}) => value === undefined ? undefined : parseRecord(hostSchema, value))
-		.filter(record => record !== undefined);
-	return new Map(records.map(record => [record.host, record]));
-}
--- a/packages/heatherpond-fleet/src/index.ts
+++ b/packages/heatherpond-fleet/src/index.ts
@@ -13,6 +13,7 @@
 export * from './fleet-state.js';
 export type * from './host-links.js';
 export * from './host-figures.js';
+export * from './host-list.js';
 export * from './host-messages.js';
 export * from './host-registration.js';
 export * from './memory-store.js';
--- a/packages/heatherpond-fleet/src/promotion-run.ts
+++ b/packages/heatherpond-fleet/src/promotion-run.ts
@@ -11,7 +11,7 @@
 import type {FleetServices} from './fleet-services.js';
 import {applyPrimacy} from './apply-fleet-news.js';
 import type {Versioned} from './fleet-state.js';
-import {readHosts} from './host-registration.js';
+import {readHosts} from './host-list.js';
 import {LEASE_MARGIN_MS, LEASE_MS} from './primacy.js';
 import {
 	findCandidate, findLeader, findLiveHosts, isConfirmed, type SurveyedDatabase,
--- /dev/null
+++ b/packages/heatherpond-fleet/src/relayed-loan.ts
@@ -0,0 +1,69 @@
+/** A loan of a connection that another host holds. */
+import type {Clock} from 'heatherpond-core';
+import type {
+	Loan, LoanRequest, StepEnd, WorkStep,
+} from 'heatherpond-session';
+import {convertStep, type RelayMessage} from './relay-messages.js';
+
+/** A message that runs a step. */
+export type StepMessage = Extract<RelayMessage, {readonly kind: 'first-step' | 'step'}>;
+
+/** What a loan is made of. */
+export type RelayedLoanOptions = {
+	readonly database: string;
+	readonly request: LoanRequest;
+	readonly loan: number;
+	readonly clock: Clock;
+	readonly exchange: (message: StepMessage, step: WorkStep) => Promise<StepEnd>;
+	readonly send: (message: RelayMessage) => void;
+};
+
+/** Creates a loan whose connection another host holds; it exists there from its first step to its end. */
+export function createRelayedLoan({database, request: {team, priority, variables}, loan, clock, exchange, send}: RelayedLoanOptions): Loan {
+	let phase: 'new' | 'open' | 'ended' = 'new';
+
+	function createMessage(step: WorkStep): StepMessage {
+		const sent = convertStep(step, clock);
+		return phase === 'new'
+			? {
+				kind: 'first-step', loan, database, team, priority, variables: new Map(variables), step: sent,
+			}
+			: {kind: 'step', loan, step: sent};
+	}
+
+	return {
+		database,
+		team,
+		async run(step) {
+			const message = createMessage(step);
+			phase = 'open';
+			try {
+				const end = await exchange(message, step);
+				if (end.kind !== 'prepared' && step.isLast && end.answer.state === 'idle') {
+					phase = 'ended';
+				}
+
+				return end;
+			} catch (error) {
+				// Whatever is still at work there is for nobody.
+				send({kind: 'release', loan, isClean: false});
+				phase = 'ended';
+				throw error;
+			}
+		},
+		release(isClean) {
+			if (phase === 'open') {
+				send({kind: 'release', loan, isClean});
+			}
+
+			phase = 'ended';
+		},
+		async rollBack(deadline) {
+			if (phase === 'open') {
+				send({kind: 'roll-back', loan, remainingMs: deadline - clock.readNow()});
+			}
+
+			phase = 'ended';
+		},
+	};
+}
--- a/packages/heatherpond-fleet/src/team-limits.ts
+++ b/packages/heatherpond-fleet/src/team-limits.ts
@@ -90,7 +90,8 @@
 		shares.set(team, share);
 		if (granted === 0) {
 			options.writeEvent('limit_reached', {
-				team, rate: limit.ratePerSecond, share: convertToHundredths(readShare(share, limit, scaled)), tokens: convertToHundredths(share.tokens), asked: convertToHundredths(share.reportedPerSecond),
+				team, rate: limit.ratePerSecond, share: convertToHundredths(readShare(share, limit, scaled)), tokens: convertToHundredths(share.tokens),
+				asked: convertToHundredths(share.reportedPerSecond),
 				asked_elsewhere: convertToHundredths(others.offeredPerSecond), heard: others.heard, unheard: others.unheard, part: convertToHundredths(scaled.ownPart), retry_after_ms: retryAfterMs,
 			});
 		}
--- a/packages/heatherpond-session/src/caller-session.ts
+++ b/packages/heatherpond-session/src/caller-session.ts
@@ -243,7 +243,8 @@
 
 function refuse({state, services, caller}: Session, statement: Statement, refusal: Refusal, {endsSession, access}: {readonly endsSession: boolean; readonly access?: AllowedAccess}): SessionReply {
 	services.writeEvent('statement_refused', {
-		request: statement.id, session: caller.sessionId, route: caller.database, team: access?.team, group: access?.route.group, code: refusal.code, reason: refusal.reason, retry_after_ms: refusal.retryAfterMs,
+		request: statement.id, session: caller.sessionId, route: caller.database,
+		team: access?.team, group: access?.route.group, code: refusal.code, reason: refusal.reason, retry_after_ms: refusal.retryAfterMs,
 	});
 	return {
 		kind: 'refused', refusal, state: readTransactionState(state), endsSession,
--- a/packages/heatherpond-session/src/statement-attempts.ts
+++ b/packages/heatherpond-session/src/statement-attempts.ts
@@ -97,8 +97,12 @@
 	});
 }
 
+/** What a statement of an open transaction is run with, and what its connection needs first. */
+export type StatementContext = Pick<AttemptContext, 'services' | 'running' | 'signal'>;
+export type TransactionSetup = Pick<ExchangeStep, 'needs' | 'begin'>;
+
 /** Runs a statement in an open transaction; one that the database was too busy for is repeated there. */
-export async function exchangeInTransaction({services, running, signal}: Pick<AttemptContext, 'services' | 'running' | 'signal'>, input: ExchangeInput, {needs, begin}: Pick<ExchangeStep, 'needs' | 'begin'>): Promise<ExchangeEnd> {
+export async function exchangeInTransaction({services, running, signal}: StatementContext, input: ExchangeInput, {needs, begin}: TransactionSetup): Promise<ExchangeEnd> {
 	const command = createStatementCommand(running);
 	const isLast = running.statement.action.kind === 'commit';
 	let isOpen = false;
--- a/packages/heatherpond-spec/src/store-primacy/store-primacy-model.ts
+++ b/packages/heatherpond-spec/src/store-primacy/store-primacy-model.ts
@@ -105,21 +105,15 @@
 	const {record: {promotion}} = host.record;
 	const {run, work} = host;
 	const isWriter = scope.writers.includes(name);
-	const mayPromote = host.registeredUntil > state.now && Number.isFinite(host.leaseVerifiedAt);
-	const isFree = rules.isDutyFree(fleet, readIdentity(name, host), state.now);
-	const kinds: Array<[boolean, HostStep]> = [
+	const kinds: ReadonlyArray<readonly [boolean, HostStep]> = [
 		[host.record.version !== state.record.version || (isWriter && host.leaseVerifiedAt < state.now), 'verify'],
 		[scope.registers && host.registeredUntil < state.now + rules.registrationMs, 'register'],
 		[isWriter && !work && findPrimary(fleet, GROUP, state.now) !== undefined, 'write'],
 		[work?.commit === 'none' && (work.database === state.leader || state.stale.includes(work.database)), 'commit'],
 		[work !== undefined && work.commit !== 'none' && rules.isProven(fleet, {group: GROUP, ...work}, state.now), 'acknowledge'],
 		[promotion !== undefined && host.confirmed !== promotion.id, 'confirm'],
-		[mayPromote && !run && promotion === undefined && host.record.record.term === 1 && isFree, 'begin'],
-		[mayPromote && !run && promotion !== undefined && isFree, 'takeOver'],
-		[run?.phase === 'waiting' && isClear(rules, state, run), 'clear'],
-		[run?.phase === 'named' && state.now < rules.readDutyDeadline(fleet, readIdentity(name, host)) - ORDER_MARGIN_MS, 'order'],
-		[run?.phase === 'ordered' && state.leader === run.candidate, 'record'],
 		[state.crashes < scope.crashes, 'crash'],
+		...collectPromoterKinds(rules, state, name),
 	];
 	const names = run?.phase === 'clear' ? findCandidates(scope, rules, state, run) : [];
 	return [
@@ -128,6 +122,21 @@
 	];
 }
 
+function collectPromoterKinds(rules: StorePrimacyRules, state: StorePrimacyState, name: string): ReadonlyArray<readonly [boolean, HostStep]> {
+	const host = state.hosts[name]!;
+	const fleet = createFleetState(host);
+	const identity = readIdentity(name, host);
+	const {run, record: {record: {promotion, term}}} = host;
+	const mayStart = !run && host.registeredUntil > state.now && Number.isFinite(host.leaseVerifiedAt) && rules.isDutyFree(fleet, identity, state.now);
+	return [
+		[mayStart && promotion === undefined && term === 1, 'begin'],
+		[mayStart && promotion !== undefined, 'takeOver'],
+		[run?.phase === 'waiting' && isClear(rules, state, run), 'clear'],
+		[run?.phase === 'named' && state.now < rules.readDutyDeadline(fleet, identity) - ORDER_MARGIN_MS, 'order'],
+		[run?.phase === 'ordered' && state.leader === run.candidate, 'record'],
+	];
+}
+
 /** Whether nobody relies on the old primary any more, as far as the run can tell. */
 function isClear(rules: StorePrimacyRules, state: StorePrimacyState, run: PromotionRun): boolean {
 	const live = rules.findLiveHosts(createHostList(state), state.now);
