--- a/packages/heatherpond-ctl/src/main.ts
+++ b/packages/heatherpond-ctl/src/main.ts
@@ -8,6 +8,13 @@
 
 const KEY_BYTES = 24;
 
+// A reader such as head may have seen enough; that is no fault of the command.
+process.stdout.on('error', (error: Error & {readonly code?: string}) => {
+	if (error.code !== 'EPIPE') {
+		throw error;
+	}
+});
+
 const stop = new AbortController();
 ['SIGTERM', 'SIGINT'].forEach(name => {
 	process.once(name, () => {
--- a/packages/heatherpond-observe/src/__tests__/unit/request-account.test.ts
+++ b/packages/heatherpond-observe/src/__tests__/unit/request-account.test.ts
@@ -12,6 +12,8 @@
 time=2026-07-09T18:45:40.500Z level=info event=statement_refused host=front-1 domain=a request=r4 session=s-4 route=shop team=dacu group=g code=busy reason="no database answered in time: silent"
 time=2026-07-09T18:45:50.000Z level=info event=table_lost host=front-3 domain=a table=op reason="the store did not answer"
 time=2026-07-09T18:45:54.000Z level=info event=statement_refused host=front-3 domain=a request=r5 session=s-5 route=shop code=busy reason="the contracts cannot be verified at the moment"
+time=2026-07-09T18:46:00.000Z level=info event=host_started host=front-4 domain=a incarnation=x
+time=2026-07-09T18:46:00.400Z level=info event=statement_refused host=front-4 domain=a request=r6 session=s-6 route=shop team=dacu group=h code=busy reason="the group has no proven primary"
 nonsense without an event
 `;
 
@@ -23,6 +25,7 @@
 		['r2', /outcome is unknown.*around a promotion of g \(silent\)/v],
 		['r3', /no proven primary: promotion of g was under way \(silent\)/v],
 		['r4', /1 attempts failed, the last one at db-2 \(silent\)/v],
+		['r6', /on this host, which had started 400 ms before/v],
 		['r5', /could not verify the contracts, since table_lost/v],
 	])('of %s names the cause', (request, cause) => {
 		expect(findAccount(lines, request)?.cause).toMatch(cause);
@@ -32,11 +35,17 @@
 		expect(findAccount(lines, 'r3')!.steps.map(({relation, line: {event}}) => `${relation} ${event}`)).toEqual(['group primary_suspected', 'group promotion_due', 'request statement_refused']);
 	});
 
+	test('holds the latest lines about the limit of its team, not all', () => {
+		const limit = LOG.split('\n').find(line => line.includes('limit_reached'))!;
+		const many = parseLogLines([...Array.from({length: 20}).map(() => limit), LOG].join('\n'));
+		expect(findAccount(many, 'r1')!.steps.filter(({relation}) => relation === 'team')).toHaveLength(3);
+	});
+
 	test('is nothing for a request that no line names', () => {
 		expect(findAccount(lines, 'unknown')).toBeUndefined();
 	});
 
 	test('passes over lines that are no events', () => {
-		expect(lines).toHaveLength(10);
+		expect(lines).toHaveLength(12);
 	});
 });
--- a/packages/heatherpond-observe/src/request-account.ts
+++ b/packages/heatherpond-observe/src/request-account.ts
@@ -18,9 +18,13 @@
 const HOST_BEFORE_MS = 6000;
 const TEAM_BEFORE_MS = 1500;
 const AFTER_MS = 500;
+/** Lines about the limit of the team that are kept, the latest ones. */
+const MAX_TEAM_LINES = 3;
 
 /** What changes a host's belief about itself. */
-const HOST_EVENTS = new Set(['host_started', 'host_registered', 'host_stopping', 'table_lost', 'table_regained', 'register_failed', 'clock_drift', 'contracts_in_force', 'relay_lost', 'lines_dropped']);
+const HOST_EVENTS = new Set([
+	'host_started', 'host_registered', 'host_stopping', 'table_lost', 'table_regained', 'register_failed', 'clock_drift', 'contracts_in_force', 'relay_lost', 'lines_dropped',
+]);
 
 /** Explains a request; nothing when no line names it. */
 export function findAccount(lines: readonly LogLine[], request: string): RequestAccount | undefined {
@@ -30,10 +34,12 @@
 		return undefined;
 	}
 
-	const steps = lines.flatMap(line => {
+	const related = lines.flatMap(line => {
 		const relation = findRelation(line, own, last);
 		return relation ? [{relation, line}] : [];
 	});
+	const latestOfTeam = new Set(related.filter(({relation}) => relation === 'team').slice(-MAX_TEAM_LINES));
+	const steps = related.filter(step => step.relation !== 'team' || latestOfTeam.has(step));
 	return {
 		request, host: last.host, cause: findCause(last, steps.map(({line}) => line)), steps,
 	};
@@ -71,16 +77,19 @@
 	return lines.findLast(({event}) => events.includes(event));
 }
 
+function formatLimit({rate, share, asked, asked_elsewhere: elsewhere}: LogLine['fields'], retryAfterMs: string | undefined): string {
+	return `the team was over its limit: rate ${rate} a second, share of this domain ${share}, asked here ${asked}, elsewhere ${elsewhere}; told to return after ${retryAfterMs} ms`;
+}
+
 /** The causes that are looked for, the most telling first. */
 function findCause(last: LogLine, lines: readonly LogLine[]): string {
 	const {code, reason = ''} = last.fields;
 	const limit = findLast(lines, 'limit_reached');
 	const promotion = findLast(lines, 'promotion_due', 'primary_suspected');
+	const started = findLast(lines, 'host_started');
 	const lost = findLast(lines, 'table_lost', 'register_failed', 'clock_drift');
 	if (reason.includes('over its rate')) {
-		return limit
-			? `the team was over its limit: rate ${limit.fields.rate} a second, share of this domain ${limit.fields.share}, asked here ${limit.fields.asked}, elsewhere ${limit.fields.asked_elsewhere}; told to return after ${last.fields.retry_after_ms} ms`
-			: 'the team was over its limit; the host that decided logged no figures';
+		return limit ? formatLimit(limit.fields, last.fields.retry_after_ms) : 'the team was over its limit; the host that decided logged no figures';
 	}
 
 	if (code === 'in_doubt') {
@@ -95,6 +104,10 @@
 		return `the group had no proven primary: promotion of ${promotion.fields.group} was under way (${promotion.fields.reason ?? promotion.event})`;
 	}
 
+	if (reason.includes('no proven primary') && started) {
+		return `the group had no proven primary on this host, which had started ${last.atMs - started.atMs} ms before`;
+	}
+
 	if (reason.includes('no proven primary')) {
 		return `the group had no proven primary${lost ? `, since the host had lost the store (${lost.event})` : ' on this host'}`;
 	}
