Register no host by a report from before its suspension

Found by reading: a notice that a registration was refreshed, sent before a suspension and delivered after it, counted from an instant of the monotonic clock, which has not counted the suspension; the host could rely on its registration longer than promotions wait for it. Notices now count only while the host is registered; after a suspension it registers itself. Test: domain-reader.test.ts, fails without the change.

--- a/packages/heatherpond-fleet/src/__tests__/unit/domain-reader.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/domain-reader.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, test} from '@jest/globals';
 import {createFakeClock} from 'heatherpond-core';
 import {
-	createDomainStore, createMemoryStore, createTableCache, findReader, HOSTS_TABLE, REGISTRATION_MS, type DomainMate, type HostIdentity, type HostRecord, type TableNews, type TablePage,
+	applySuspension, createDomainStore, createMemoryStore, createTableCache, findReader, HOSTS_TABLE, REGISTRATION_MS, type DomainMate, type HostIdentity, type HostRecord, type TableNews, type TablePage,
 } from '../../index.js';
 import {advance} from '../support/steps.js';
 import {
@@ -131,6 +131,21 @@
 		fleet.stop();
 	});
 
+	test('registers no host by reports from before its suspension', async () => {
+		const fleet = createTestFleet(['host-1', 'host-2']);
+		await advance(fleet.clock, 6000);
+		const suspended = fleet.hosts[1]!;
+		fleet.store.setFaults(({caller}) => caller === 'host-2' ? 'silent' : undefined);
+		suspended.host.blackboard.update(applySuspension);
+		await advance(fleet.clock, 3000);
+		expect(fleet.datagrams.some(({to, text, at}) => to === 'host-2' && text.includes('"registered"') && at > fleet.clock.readNow() - 3000)).toBe(true);
+		expect(suspended.host.blackboard.read().registeredUntil).toBe(Number.NEGATIVE_INFINITY);
+		fleet.store.setFaults(() => undefined);
+		await advance(fleet.clock, 2000);
+		expect(suspended.host.blackboard.read().registeredUntil).toBeGreaterThan(fleet.clock.readNow());
+		fleet.stop();
+	});
+
 	test('does not undo a registration by a call that is carried out late', async () => {
 		const fleet = createTestFleet(['host-1', 'host-2']);
 		await advance(fleet.clock, 4000);
--- a/packages/heatherpond-fleet/src/fleet-message-handlers.ts
+++ b/packages/heatherpond-fleet/src/fleet-message-handlers.ts
@@ -19,7 +19,10 @@
 export function createMessageHandlers({host, limits, registration, exchange}: MessageReceivers): HostMessageHandlers {
 	const {blackboard, clock, cache} = host;
 	return {
-		handleRegistered: registration.applyRegistered,
+		handleRegistered(news) {
+			checkSuspension(host);
+			registration.applyRegistered(news);
+		},
 		handleUsage(report, isRelayed) {
 			blackboard.update(state => report.hasLeft ? applyLeftHost(state, report) : applyHeardHost(state, report.host, clock.readNow()));
 			exchange.applyReport(report, isRelayed);
--- a/packages/heatherpond-fleet/src/host-registration.ts
+++ b/packages/heatherpond-fleet/src/host-registration.ts
@@ -74,10 +74,13 @@
 	void runRegistration(registration);
 	return {
 		applyRegistered({runs, farHosts}) {
-			options.services.blackboard.update(state => applyFarHosts(state, farHosts));
+			const {blackboard, clock} = options.services;
+			blackboard.update(state => applyFarHosts(state, farHosts));
+			// After a suspension the instants of earlier reports mean nothing; the host has to register itself.
+			const isRegistered = blackboard.read().registeredUntil > clock.readNow();
 			runs.forEach(run => {
 				const sentAt = options.findSentAt(run);
-				if (sentAt !== undefined) {
+				if (isRegistered && sentAt !== undefined) {
 					applyRefresh(options.services, sentAt);
 				}
 			});
