Load the metrics libraries on demand, and bundle only the used part of the schema library

Cause: one dynamic import made the bundler wrap every module, so nothing was left out: the program held all of zod with its locales, prom-client and hdr-histogram-js, and loaded them at each start (1.7 MB of source, of which 0.35 MB is used). Change: the metrics are a file of their own, loaded by the first request for metrics or after 2,000 statements (none is lost); schemas are imported as a namespace, which can be left out in part.

--- a/packages/heatherpond-changelog/src/platform-snapshot.ts
+++ b/packages/heatherpond-changelog/src/platform-snapshot.ts
@@ -4,7 +4,7 @@
 import {
 	fleetViewSchema, PortError, type CallOptions, type FleetView,
 } from 'heatherpond-core';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {PlatformConnection} from './platform-client.js';
 
 const SNAPSHOT_KEY = 'snapshot';
--- a/packages/heatherpond-config/src/ctl-settings.ts
+++ b/packages/heatherpond-config/src/ctl-settings.ts
@@ -1,6 +1,6 @@
 /** Settings of the command line tool `heatherpondctl`. */
 import {nameSchema} from 'heatherpond-core';
-import {z} from 'zod';
+import * as z from 'zod';
 import {addressSchema} from './proxy-settings.js';
 
 /** Settings of `heatherpondctl`; all are optional. */
--- a/packages/heatherpond-config/src/proxy-settings.ts
+++ b/packages/heatherpond-config/src/proxy-settings.ts
@@ -1,6 +1,6 @@
 /** Settings of one proxy host. */
 import {nameSchema} from 'heatherpond-core';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** IP address and port as `address:port`; port 0 selects any free port. */
 export const addressSchema = z.string().regex(/^[\da-f.:\[\]]+:\d{1,5}$/iv, 'allowed: an IP address and a port, such as 127.0.0.1:6432');
--- a/packages/heatherpond-config/src/standin-settings.ts
+++ b/packages/heatherpond-config/src/standin-settings.ts
@@ -1,6 +1,6 @@
 /** Settings of the stand-ins for the platform and for databases, which are used in development. */
 import {nameSchema} from 'heatherpond-core';
-import {z} from 'zod';
+import * as z from 'zod';
 import {addressSchema} from './proxy-settings.js';
 
 const logLevelSchema = z.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info');
--- a/packages/heatherpond-core/src/contract.ts
+++ b/packages/heatherpond-core/src/contract.ts
@@ -1,5 +1,5 @@
 /** Configuration set by operators: contracts of teams, routes and database groups. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Name of a team, route, group, database, host or failure domain. */
 export const nameSchema = z.string().regex(/^[a-z\d][\w.\-]{0,62}$/iv, 'a name has 1 to 63 letters, digits, dots, underscores or hyphens and starts with a letter or digit');
--- a/packages/heatherpond-core/src/fleet-event.ts
+++ b/packages/heatherpond-core/src/fleet-event.ts
@@ -1,5 +1,5 @@
 /** Typed events of the fleet timeline: what a host decided, when and why. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /**
  * Hybrid logical timestamp: wall-clock milliseconds, a counter that orders events within a millisecond, and the host.
--- a/packages/heatherpond-core/src/fleet-view.ts
+++ b/packages/heatherpond-core/src/fleet-view.ts
@@ -1,5 +1,5 @@
 /** Materialized view of the change log, computed entry by entry. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	contractSchema, groupSettingsSchema, routeSchema, type GroupSettings,
 } from './contract.js';
--- a/packages/heatherpond-core/src/log-entry.ts
+++ b/packages/heatherpond-core/src/log-entry.ts
@@ -1,5 +1,5 @@
 /** Entries of the change log, the totally ordered list of all changes that hosts must agree on. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	contractSchema, groupSettingsSchema, nameSchema, routeSchema,
 } from './contract.js';
--- a/packages/heatherpond-core/src/peer-port.ts
+++ b/packages/heatherpond-core/src/peer-port.ts
@@ -1,5 +1,5 @@
 /** Port for calls between hosts. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {FleetView} from './fleet-view.js';
 import {logEntrySchema} from './log-entry.js';
 import type {CallOptions} from './platform-port.js';
--- a/packages/heatherpond-core/src/position.ts
+++ b/packages/heatherpond-core/src/position.ts
@@ -1,5 +1,5 @@
 /** Log positions of database groups, and comparison of database histories. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A position in the write-ahead log of a group: the term in which it was written and the offset in bytes. */
 export const logPointSchema = z.object({
--- a/packages/heatherpond-core/src/promotion-port.ts
+++ b/packages/heatherpond-core/src/promotion-port.ts
@@ -1,5 +1,5 @@
 /** Port for the calls of a host that replaces a primary to the other hosts. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {CallOptions} from './platform-port.js';
 
 /** Request for a host's assessment of a group, and for its promise to use no lease below a term. */
--- a/packages/heatherpond-core/src/session-token.ts
+++ b/packages/heatherpond-core/src/session-token.ts
@@ -3,7 +3,7 @@
  * clients. Its text is `1.` followed by the base64url encoding of space-separated `group:term:position` items.
  */
 import {Buffer} from 'node:buffer';
-import {z} from 'zod';
+import * as z from 'zod';
 import {nameSchema} from './contract.js';
 import {CoreError} from './core-error.js';
 import {logPointSchema, type LogPosition} from './position.js';
--- a/packages/heatherpond-core/src/stamp.ts
+++ b/packages/heatherpond-core/src/stamp.ts
@@ -5,7 +5,7 @@
  * relayed stamp carries its age, and the receiver subtracts that age from the instant at which it sent its own request.
  * Relaying can therefore make a stamp older, but never younger.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Instant} from './clock.js';
 
 /** Schema of a freshness stamp. */
--- a/packages/heatherpond-core/src/upstream-port.ts
+++ b/packages/heatherpond-core/src/upstream-port.ts
@@ -1,5 +1,5 @@
 /** Port for control calls to databases: status, fencing and promotion. Client statements do not use it. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Member} from './contract.js';
 import type {CallOptions} from './platform-port.js';
 import {logPointSchema} from './position.js';
--- a/packages/heatherpond-ctl/src/apply-file.ts
+++ b/packages/heatherpond-ctl/src/apply-file.ts
@@ -4,7 +4,7 @@
 import {
 	contractSchema, groupSettingsSchema, routeSchema, type Change, type FleetView,
 } from 'heatherpond-core';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Schema of a file for `contract apply`. */
 export const applyFileSchema = z.strictObject({
--- a/packages/heatherpond-ctl/src/submit-changes.ts
+++ b/packages/heatherpond-ctl/src/submit-changes.ts
@@ -3,7 +3,7 @@
 import {
 	changeSchema, decodeLogEntry, formatChangeSubject, type Change, type LogEntry,
 } from 'heatherpond-core';
-import {z} from 'zod';
+import * as z from 'zod';
 import {CtlError, EXIT, formatError} from './ctl-error.js';
 import type {CommandResult, CtlIo} from './ctl-io.js';
 import type {FleetClient} from './fleet-client.js';
--- a/packages/heatherpond-fleet/src/fleet-records.ts
+++ b/packages/heatherpond-fleet/src/fleet-records.ts
@@ -1,5 +1,5 @@
 /** Schemas and keys of the rows through which hosts coordinate in the store. */
-import {z} from 'zod/mini';
+import * as z from 'zod/mini';
 
 /** Table of primaries, the promotion lease, confirmations and suspicions; every host follows its changes. */
 export const FLEET_TABLE = 'heatherpond-fleet';
--- a/packages/heatherpond-fleet/src/host-messages.ts
+++ b/packages/heatherpond-fleet/src/host-messages.ts
@@ -1,6 +1,6 @@
 /** Datagrams between hosts: usage reports, registrations, promotions and their confirmations, suspicions, and requests with their responses. */
 import type {Deadline} from 'heatherpond-core';
-import {z} from 'zod/mini';
+import * as z from 'zod/mini';
 import {
 	confirmationSchema, hostSchema, parseRecord, primacySchema, suspicionSchema, type ConfirmationRecord, type HostRecord, type PrimacyRecord, type SuspicionRecord,
 } from './fleet-records.js';
--- a/packages/heatherpond-fleet/src/relay-messages.ts
+++ b/packages/heatherpond-fleet/src/relay-messages.ts
@@ -1,7 +1,7 @@
 /** Messages of the relay protocol, by which a host sends statements through the connections of another host. */
 import type {Clock} from 'heatherpond-core';
 import type {StepResult, ConnectionStep} from 'heatherpond-session';
-import {z} from 'zod/mini';
+import * as z from 'zod/mini';
 
 const pointSchema = z.object({
 	term: z.number(),
--- a/packages/heatherpond-fleet/src/usage-report.ts
+++ b/packages/heatherpond-fleet/src/usage-report.ts
@@ -1,5 +1,5 @@
 /** Schema of the usage reports that hosts send to each other in datagrams, about once a second. */
-import {z} from 'zod/mini';
+import * as z from 'zod/mini';
 
 /** Usage of one host, or the sum over all hosts of a failure domain. */
 export const usageReportSchema = z.object({
--- a/packages/heatherpond-local/src/demo.ts
+++ b/packages/heatherpond-local/src/demo.ts
@@ -1,7 +1,7 @@
 /** Runs a local deployment for demonstration, with a short workload and an optional failover. */
 import {waitUntil, type Clock} from 'heatherpond-core';
 import pg from 'pg';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {DeploymentPlan} from './deployment-plan.js';
 import {startLocalDeployment, type LocalDeployment} from './local-deployment.js';
 
--- a/packages/heatherpond-measure/src/load/load-plan.ts
+++ b/packages/heatherpond-measure/src/load/load-plan.ts
@@ -1,5 +1,5 @@
 /** Configuration of a load on a deployment. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Load of one team. */
 export const teamLoadSchema = z.object({
--- a/packages/heatherpond-measure/src/load/request-record.ts
+++ b/packages/heatherpond-measure/src/load/request-record.ts
@@ -1,5 +1,5 @@
 /** Record of one load request and its outcome. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** `answered`: success; `notRun`: refused before it ran; `unknown`: write that may have run; `failed`: other errors. */
 export const outcomeSchema = z.enum(['answered', 'notRun', 'unknown', 'failed']);
--- a/packages/heatherpond-measure/src/measurement.ts
+++ b/packages/heatherpond-measure/src/measurement.ts
@@ -1,5 +1,5 @@
 /** Options and results common to all measurements. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A measured figure. */
 export const figureSchema = z.object({
--- a/packages/heatherpond-observe/src/event-filter.ts
+++ b/packages/heatherpond-observe/src/event-filter.ts
@@ -1,6 +1,6 @@
 /** Filters events, and merges the events of several processes into a timeline. */
 import {eventKindSchema, type EventKind, type FleetEvent} from 'heatherpond-core';
-import {z} from 'zod';
+import * as z from 'zod';
 import {compareHybridTimes} from './hybrid-clock.js';
 
 /** Criteria that an event must all match; an absent criterion matches any event. */
--- a/packages/heatherpond-observe/src/index.ts
+++ b/packages/heatherpond-observe/src/index.ts
@@ -1,4 +1,5 @@
 /** Public API of logging, events and metrics. */
+export * from './deferred-recorder.js';
 export * from './event-filter.js';
 export * from './event-recorder.js';
 export * from './event-ring.js';
--- a/packages/heatherpond-proxy/src/operator-changes.ts
+++ b/packages/heatherpond-proxy/src/operator-changes.ts
@@ -4,7 +4,7 @@
 	type CallOptions, type Change, type EntryDraft, type FleetView, type LogEntry,
 } from 'heatherpond-core';
 import type {ReadHistoryRequest, SubmitChangeReply, SubmitChangeRequest} from 'heatherpond-admin';
-import {z} from 'zod';
+import * as z from 'zod';
 import {readLogOnce, type LogReadOptions} from './controllers/log-follower.js';
 import {AdminCallError} from './proxy-error.js';
 
