--- a/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
+++ b/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
@@ -1,4 +1,5 @@
 /** Test fixture: several hosts with one in-memory store and one group of fake databases that only have a status. */
+import {setMaxListeners} from 'node:events';
 import {createFakeClock, type FakeClock} from 'heatherpond-core';
 import {createUpstreamError} from 'heatherpond-session';
 import {
@@ -70,8 +71,14 @@
 const LATE_PROMOTE_MS = 1300;
 const REVOCATION_MS = 5000;
 
+/** Options of the fleet. */
+export type TestFleetOptions = {
+	/** Names of the hosts that are seeds of all hosts. */
+	readonly seeds?: readonly string[];
+};
+
 /** Creates a fleet of hosts and a group of three databases, the first of which is primary. */
-export function createTestFleet(hostNames: readonly string[]): TestFleet {
+export function createTestFleet(hostNames: readonly string[], {seeds = []}: TestFleetOptions = {}): TestFleet {
 	const clock = createFakeClock(1000);
 	const store = createMemoryStore({clock, latencyMs: STORE_LATENCY_MS});
 	const databases = new Map(['db-1', 'db-2', 'db-3'].map((id, index) => [id, createDatabase(id, index)] as const));
@@ -129,6 +136,7 @@
 	function startHost(name: string, domain = 'domain-1'): TestHost {
 		incarnations++;
 		const lifetime = new AbortController();
+		setMaxListeners(0, lifetime.signal);
 		const testHost: Pick<TestHost, 'isKilled' | 'isIsolated' | 'dropsDatagram'> = {isKilled: false, isIsolated: false, dropsDatagram: () => false};
 		const host = startFleetHost({
 			identity: {
@@ -178,6 +186,7 @@
 				},
 			},
 			links: links.createPort(name),
+			seeds: seeds.map(address => ({address, port: 1})),
 			async openConnection() {
 				throw new Error('the fake databases accept no connections');
 			},
--- a/packages/heatherpond-fleet/src/__tests__/unit/domain-leader.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/domain-leader.test.ts
@@ -2,7 +2,7 @@
 import {createFakeClock} from 'heatherpond-core';
 import {
 	applySuspension, createDomainStore, createMemoryStore, createTableCache, findDomainLeader, HOSTS_TABLE, REGISTRATION_MS,
-	type DomainPeer, type HostIdentity, type HostRecord, type TableUpdate, type TablePage,
+	type ChangesResponse, type DomainPeer, type HostIdentity, type HostRecord, type TableUpdate, type TablePage,
 } from '../../index.js';
 import {advance} from '../support/steps.js';
 import {
@@ -17,9 +17,7 @@
 };
 
 function createPeer(host: string, startedAt = 0): DomainPeer {
-	return {
-		...IDENTITY, host, refreshedAt: 0, startedAt,
-	};
+	return {...IDENTITY, host, startedAt};
 }
 
 function createTableUpdate(change: Partial<TablePage>, requestedAt: number, isSnapshot = false): TableUpdate {
@@ -38,6 +36,13 @@
 		expect(cache.readChanges('t', 5, 1400)).toMatchObject({rows: [{key: 'b', version: 7}], version: 7, ageMs: 400});
 	});
 
+	test('returns the whole table without removed rows after version 0', () => {
+		const cache = createTableCache();
+		cache.applyUpdate('t', createTableUpdate({rows: [{key: 'a', version: 4, value: '1'}, {key: 'b', version: 5, value: '2'}]}, 100, true));
+		cache.applyUpdate('t', createTableUpdate({rows: [{key: 'a', version: 7}], version: 7}, 150));
+		expect(cache.readChanges('t', 0, 200)).toMatchObject({rows: [{key: 'b', version: 5, value: '2'}], version: 7, ageMs: 50});
+	});
+
 	test('returns nothing for an earlier version, an unknown table, an outdated page or after clear()', () => {
 		const cache = createTableCache();
 		cache.applyUpdate('t', createTableUpdate({}, 100, true));
@@ -51,8 +56,9 @@
 	test('returns nothing when the changes exceed the size limit of a response', () => {
 		const cache = createTableCache();
 		cache.applyUpdate('t', createTableUpdate({}, 100, true));
-		cache.applyUpdate('t', createTableUpdate({rows: [{key: 'a', version: 6, value: 'x'.repeat(10_000)}], version: 6}, 150));
+		cache.applyUpdate('t', createTableUpdate({rows: [{key: 'a', version: 6, value: 'x'.repeat(70_000)}], version: 6}, 150));
 		expect(cache.readChanges('t', 5, 200)).toBeUndefined();
+		expect(cache.readChanges('t', 0, 200)).toBeUndefined();
 	});
 });
 
@@ -79,11 +85,13 @@
 	test('receives change requests first, and the store is read when it does not respond', async () => {
 		const clock = createFakeClock(0);
 		const store = createMemoryStore({clock, latencyMs: 10});
-		const responses: Array<TablePage | undefined> = [{
-			rows: [], version: 9, storeNow: 0, ageMs: 300,
-		}, undefined];
+		const responses: ChangesResponse[] = [{
+			kind: 'page', page: {
+				rows: [], version: 9, storeNow: 0, ageMs: 300,
+			},
+		}, {kind: 'silent'}];
 		const port = createDomainStore({
-			store: store.createPort('host-2'), clock, findDomainLeader: () => createPeer('host-1'), requestChanges: async () => responses.shift(),
+			store: store.createPort('host-2'), clock, findDomainLeader: () => createPeer('host-1'), requestChanges: async () => responses.shift()!,
 		});
 		expect(await port.readChanges('t', 1, 1000)).toMatchObject({version: 9, ageMs: 300});
 		const direct = port.readChanges('t', 1, 1000);
@@ -91,6 +99,19 @@
 		expect(await direct).toMatchObject({version: 1});
 	});
 
+	test('is awaited by a host that has just started, and bypassed when it still does not know a table later', async () => {
+		const clock = createFakeClock(0);
+		const store = createMemoryStore({clock, latencyMs: 10});
+		const port = createDomainStore({
+			store: store.createPort('host-2'), clock, findDomainLeader: () => createPeer('host-1'), requestChanges: async () => ({kind: 'unknown'}),
+		});
+		await expect(port.readTable('t', 1000)).rejects.toThrow('has not read the table yet');
+		await advance(clock, 2600);
+		const direct = port.readTable('t', 4000);
+		await advance(clock, 20);
+		expect(await direct).toMatchObject({rows: []});
+	});
+
 	test('reads the store for its domain, so that hosts without access to the store stay verified', async () => {
 		const fleet = createTestFleet(['host-1', 'host-2', 'host-3']);
 		await advance(fleet.clock, 4000);
@@ -134,12 +155,13 @@
 
 	test('does not extend the registration of a host by reports from before its suspension', async () => {
 		const fleet = createTestFleet(['host-1', 'host-2']);
-		await advance(fleet.clock, 6000);
+		await advance(fleet.clock, 7600);
 		const suspended = fleet.hosts[1]!;
 		fleet.store.setFaults(({caller}) => caller === 'host-2' ? 'silent' : undefined);
+		fleet.hosts[0]!.dropsDatagram = text => text.includes('"host":"host-2"');
 		suspended.host.blackboard.update(applySuspension);
-		await advance(fleet.clock, 3000);
-		expect(fleet.datagrams.some(({to, text, at}) => to === 'host-2' && text.includes('"registered"') && at > fleet.clock.readNow() - 3000)).toBe(true);
+		await advance(fleet.clock, 2700);
+		expect(fleet.datagrams.some(({to, text, at}) => to === 'host-2' && text.includes('"registered"') && at > fleet.clock.readNow() - 2700)).toBe(true);
 		expect(suspended.host.blackboard.read().registeredUntil).toBe(Number.NEGATIVE_INFINITY);
 		fleet.store.setFaults(() => undefined);
 		await advance(fleet.clock, 2000);
--- a/packages/heatherpond-fleet/src/__tests__/unit/team-limits.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/team-limits.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, test} from '@jest/globals';
 import {createBlackboard, createFakeClock, type FakeClock} from 'heatherpond-core';
 import {
-	createTeamLimits, EMPTY_FLEET_STATE, computeDomainReport, type Contracts, type FleetState, type Grant, type HostRecord, type TeamLimits, type TeamUsage, type UsageReport,
+	createTeamLimits, EMPTY_FLEET_STATE, sumUsage, type Contracts, type DomainUsage, type FleetState, type Grant, type HostRecord, type TeamLimits, type TeamUsage,
 } from '../../index.js';
 import {advance} from '../support/steps.js';
 
@@ -94,13 +94,9 @@
 
 describe('the usage report of a domain', () => {
 	test('is the sum of the reports of its hosts', () => {
-		const report: UsageReport = {
-			host: 'h', incarnation: 'r', sequence: 1, domain: 'd', isOfDomain: false, hasLeft: false, runningMs: 0, isVerified: false, teams: {a: 1.5, b: 2}, databases: {x: [1, 2]},
-		};
-		expect(computeDomainReport(report, [{
-			...report, isVerified: true, teams: {a: 1}, databases: {x: [2, 3], y: [0, 1]},
-		}])).toMatchObject({
-			isOfDomain: true, isVerified: true, teams: {a: 2.5, b: 2}, databases: {x: [3, 5], y: [0, 1]},
+		const usage = {isVerified: false, teams: {a: 1.5, b: 2}, databases: {x: [1, 2]}} satisfies DomainUsage;
+		expect(sumUsage([usage, {isVerified: true, teams: {a: 1}, databases: {x: [2, 3], y: [0, 1]}}])).toEqual({
+			isVerified: true, teams: {a: 2.5, b: 2}, databases: {x: [3, 5], y: [0, 1]},
 		});
 	});
 });
--- a/packages/heatherpond-fleet/src/fleet-followers.ts
+++ b/packages/heatherpond-fleet/src/fleet-followers.ts
@@ -19,6 +19,8 @@
 	readonly findDomainLeader: FindDomainLeader;
 	/** Reads the store, through the domain leader where possible. */
 	readonly domainStore: StorePort;
+	/** Resolves when this host has found its domain leader or given up; until then the tables are not read. */
+	readonly waitUntilDiscovered: () => Promise<void>;
 };
 
 /**
@@ -71,10 +73,10 @@
 type FollowedTable = {readonly table: string; readonly readIntervalMs: () => number; readonly applyUpdate: (update: TableUpdate) => void};
 
 function startFollower(host: HostContext, {table, readIntervalMs, applyUpdate}: FollowedTable): TableFollower {
-	const {domainStore, cache, clock, random, signal, writeEvent, followers} = host;
+	const {domainStore, cache, clock, random, signal, writeEvent, followers, waitUntilDiscovered} = host;
 	let isFailing = false;
 	const follower = startTableFollower({
-		store: domainStore, clock, table, readIntervalMs, random, signal,
+		store: domainStore, clock, table, readIntervalMs, random, signal, waitUntilStart: waitUntilDiscovered,
 		applyUpdate(update) {
 			checkSuspension(host);
 			cache.applyUpdate(table, update);
--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -18,8 +18,10 @@
 import {createMessageHandlers} from './fleet-message-handlers.js';
 import {isRegistrationExpired, isReady, isHealthy} from './host-readiness.js';
 import type {HostLinkPort} from './host-links.js';
-import {createHostMessages, type DatagramPort} from './host-messages.js';
-import {removeRegistration, startHostRegistration} from './host-registration.js';
+import type {DatagramPort} from './datagram-parts.js';
+import {startHostDiscovery, type SeedAddress} from './host-discovery.js';
+import {createHostMessages, type HostContact} from './host-messages.js';
+import {removeRegistration, startHostRegistration, type HostRegistration} from './host-registration.js';
 import {findPrimary, isProven, isReplaced} from './primacy.js';
 import {createPrimaryFailureDetector} from './primary-failure-detector.js';
 import {createPrimaryWork} from './primary-work.js';
@@ -45,6 +47,8 @@
 	readonly promotionRequests: PromotionRequestPort;
 	readonly datagrams: DatagramPort;
 	readonly links: HostLinkPort;
+	/** Hosts that may know the failure domain of this one; they may be down. */
+	readonly seeds: readonly SeedAddress[];
 	readonly openConnection: (upstream: Upstream, team: string, deadline: Deadline) => Promise<UpstreamConnection>;
 	readonly writeEvent: WriteEvent;
 	/** Records the outcome of each statement. */
@@ -91,16 +95,24 @@
 	const {clock, signal, writeEvent, random, identity, readRegion} = options;
 	const blackboard = createBlackboard<FleetState>(EMPTY_FLEET_STATE);
 	const usage: {exchange?: UsageExchange} = {};
+	const registrations: {current?: HostRegistration} = {};
 	const messages = createHostMessages({blackboard, clock, identity}, options.datagrams);
-	function findDomainLeader(): HostRecord | undefined {
+	function findDomainLeader(): HostContact | undefined {
 		return usage.exchange?.findDomainLeader();
 	}
 
+	const discovery = startHostDiscovery({
+		clock, identity, seeds: options.seeds, signal,
+		sendIntroduction: messages.sendIntroduction,
+		hasLeader: () => findDomainLeader() !== undefined,
+		findLeaderOf: domain => usage.exchange?.findLeaderOf(domain),
+		readHosts: messages.readPeers,
+	});
 	const domainStore = createDomainStore({
 		store: options.store, clock, findDomainLeader, requestChanges: messages.requestChanges,
 	});
 	const host: HostContext = {
-		...options, blackboard, followers: [], cache: createTableCache(), findDomainLeader, domainStore,
+		...options, blackboard, followers: [], cache: createTableCache(), findDomainLeader, domainStore, waitUntilDiscovered: discovery.waitUntilDone,
 	};
 	const fleet = startFollowers(host);
 	const services: FleetServices = {
@@ -137,14 +149,17 @@
 		isStopping: () => blackboard.read().isStopping,
 	});
 	usage.exchange = startUsageExchange({
-		services, messages, signal,
+		services, messages, signal, isDiscovering: () => !discovery.isDone(),
+		handleNewPeer() {
+			registrations.current?.registerNewPeers();
+		},
 		readHostUsage: () => ({isVerified: isHealthy(blackboard.read(), clock.readNow()), teams: limits.readUsage(), databases: upstreams.readUsage()}),
 	});
-	const registration = startHostRegistration({
-		services, findDomainLeader, readReceivedReports: usage.exchange.readReceivedReports, findSentAt: usage.exchange.findSentAt, sendRegistered: messages.sendRegistered, signal,
+	registrations.current = startHostRegistration({
+		services, findDomainLeader, waitUntilDiscovered: discovery.waitUntilDone, readReceivedReports: usage.exchange.readReceivedReports, findSentAt: usage.exchange.findSentAt, sendRegistered: messages.sendRegistered, signal,
 	});
 	messages.registerHandlers(createMessageHandlers({
-		host, limits, registration, exchange: usage.exchange,
+		host, limits, registration: registrations.current, exchange: usage.exchange, discovery,
 	}));
 	startPromotionConfirmations({...services, work, sendConfirmation: messages.sendConfirmation}, signal);
 	startPromotionController({
--- a/packages/heatherpond-fleet/src/fleet-message-handlers.ts
+++ b/packages/heatherpond-fleet/src/fleet-message-handlers.ts
@@ -1,7 +1,8 @@
 /** Handlers for the messages of other hosts. */
 import {applyConfirmation, applyPrimacy, applySuspicion} from './apply-fleet-update.js';
 import {checkSuspension, type HostContext} from './fleet-followers.js';
-import {applyHostContact, applyHostDeparture} from './host-list.js';
+import type {HostDiscovery} from './host-discovery.js';
+import {applyHostContacts, applyHostDeparture} from './host-list.js';
 import type {HostMessageHandlers} from './host-messages.js';
 import type {HostRegistration} from './host-registration.js';
 import type {TeamLimits} from './team-limits.js';
@@ -12,11 +13,12 @@
 	readonly host: HostContext;
 	readonly limits: Pick<TeamLimits, 'decideGrant'>;
 	readonly registration: HostRegistration;
-	readonly exchange: Pick<UsageExchange, 'applyReport'>;
+	readonly exchange: Pick<UsageExchange, 'applyReport' | 'applyDigest' | 'applyIntroduced'>;
+	readonly discovery: Pick<HostDiscovery, 'handleIntroduction' | 'refresh'>;
 };
 
 /** Creates the handlers for the messages of other hosts. */
-export function createMessageHandlers({host, limits, registration, exchange}: MessageHandlerOptions): HostMessageHandlers {
+export function createMessageHandlers({host, limits, registration, exchange, discovery}: MessageHandlerOptions): HostMessageHandlers {
 	const {blackboard, clock, cache} = host;
 	return {
 		handleRegistered(news) {
@@ -24,9 +26,17 @@
 			registration.applyRegistrationUpdate(news);
 		},
 		handleUsage(report, isRelayed) {
-			blackboard.update(state => report.hasLeft ? applyHostDeparture(state, report) : applyHostContact(state, report.host, clock.readNow()));
+			blackboard.update(state => report.hasLeft ? applyHostDeparture(state, report) : applyHostContacts(state, [report], clock.readNow()));
 			exchange.applyReport(report, isRelayed);
 		},
+		handleIntroduction: discovery.handleIntroduction,
+		handleIntroduced: exchange.applyIntroduced,
+		handleDigest(digest) {
+			const {domain} = digest.own;
+			blackboard.update(state => applyHostContacts(state, digest.members.map(member => ({...member, domain})), clock.readNow()));
+			exchange.applyDigest(digest);
+			discovery.refresh();
+		},
 		handlePrimacy(primacy) {
 			blackboard.update(state => applyPrimacy(state, primacy));
 		},
--- a/packages/heatherpond-fleet/src/fleet-state.ts
+++ b/packages/heatherpond-fleet/src/fleet-state.ts
@@ -1,5 +1,5 @@
 /** The blackboard of a host: what it knows about the fleet, and when that was last verified. */
-import type {Blackboard, Instant} from 'heatherpond-core';
+import type {Blackboard, Instant, Teardown} from 'heatherpond-core';
 import type {Contracts} from './contracts.js';
 import type {
 	PromotionLeaseRecord, HostRecord, PrimacyRecord, SuspicionRecord,
@@ -37,8 +37,6 @@
 	readonly ownConfirmations: ReadonlyMap<string, OwnConfirmation>;
 	/** Registered hosts, which may rely on leases, as last read or received. */
 	readonly hosts: ReadonlyMap<string, HostRecord>;
-	/** Whether a message has arrived from a host that is not in `hosts`. */
-	readonly hasUnknownHosts: boolean;
 	/** Until when this host may consider itself registered, so that promotions wait for its confirmation. */
 	readonly registeredUntil: Instant;
 	/** When the store accepted the current registration; only verifications after it start leases. */
@@ -63,7 +61,6 @@
 	suspicions: new Map(),
 	ownConfirmations: new Map(),
 	hosts: new Map(),
-	hasUnknownHosts: false,
 	registeredUntil: Number.NEGATIVE_INFINITY,
 	registeredAt: Number.POSITIVE_INFINITY,
 	storeClockOffset: 0,
@@ -82,3 +79,12 @@
 		registeredAt: Number.POSITIVE_INFINITY,
 	};
 }
+
+/** Calls the listener when a suspension, or the end of this host, invalidates its registration. */
+export function registerSuspensionListener(blackboard: FleetBlackboard, listener: () => void): Teardown {
+	return blackboard.registerListener(({registeredUntil}) => registeredUntil, registeredUntil => {
+		if (registeredUntil === Number.NEGATIVE_INFINITY) {
+			listener();
+		}
+	});
+}
--- a/packages/heatherpond-fleet/src/host-list.ts
+++ b/packages/heatherpond-fleet/src/host-list.ts
@@ -2,6 +2,7 @@
 import type {Instant} from 'heatherpond-core';
 import {hostSchema, parseRecord, type HostRecord} from './fleet-records.js';
 import type {FleetState} from './fleet-state.js';
+import type {HostContact} from './host-messages.js';
 import type {TablePage} from './store-port.js';
 
 /** Merges registrations of hosts of other failure domains, as received from the domain leader. */
@@ -10,12 +11,24 @@
 	return newer.length === 0 ? state : {...state, hosts: new Map([...state.hosts, ...newer.map(record => [record.host, record] as const)])};
 }
 
-/** Records a message from a host: extends its registration in the local list without reading its row again. */
-export function applyHostContact(state: FleetState, host: string, now: Instant): FleetState {
-	const known = state.hosts.get(host);
-	return known
-		? {...state, hosts: new Map([...state.hosts, [host, {...known, refreshedAt: Math.max(known.refreshedAt, Math.floor(now + state.storeClockOffset))}]])}
-		: {...state, hasUnknownHosts: true};
+/**
+ * Records that hosts are live: extends their registrations in the local list without reading their rows again, and adds
+ * those that are not listed yet. Nothing is recorded while the clock of the store is not known.
+ */
+export function applyHostContacts(state: FleetState, contacts: readonly HostContact[], now: Instant): FleetState {
+	if (!Number.isFinite(state.primacyVerifiedAt) || contacts.length === 0) {
+		return state;
+	}
+
+	const refreshedAt = Math.floor(now + state.storeClockOffset);
+	const records = contacts.map(contact => createRecord(contact, Math.max(refreshedAt, state.hosts.get(contact.host)?.refreshedAt ?? refreshedAt)));
+	return {...state, hosts: new Map([...state.hosts, ...records.map(record => [record.host, record] as const)])};
+}
+
+function createRecord({host, incarnation, address, port, domain}: HostContact, refreshedAt: number): HostRecord {
+	return {
+		host, incarnation, address, port, domain, refreshedAt,
+	};
 }
 
 /** Removes a host that has announced its departure, unless another incarnation of it has registered since. */
--- a/packages/heatherpond-fleet/src/host-messages.ts
+++ b/packages/heatherpond-fleet/src/host-messages.ts
@@ -1,20 +1,30 @@
 /** Datagrams between hosts: usage reports, registrations, promotions and their confirmations, suspicions, and requests with their responses. */
-import type {Deadline} from 'heatherpond-core';
+import type {Deadline, Instant} from 'heatherpond-core';
 import * as z from 'zod/mini';
 import {
 	confirmationSchema, hostSchema, parseRecord, primacySchema, suspicionSchema, type ConfirmationRecord, type HostRecord, type PrimacyRecord, type SuspicionRecord,
 } from './fleet-records.js';
+import {createDatagramParts, type DatagramPort} from './datagram-parts.js';
 import type {RequestChanges} from './domain-leader.js';
+import type {SeedAddress} from './host-discovery.js';
 import type {FleetServices} from './fleet-services.js';
 import type {Versioned} from './fleet-state.js';
 import {REGISTRATION_EXPIRY_MS} from './promotion-decisions.js';
 import type {TablePage} from './store-port.js';
 import type {RequestGrant, Grant} from './team-limits.js';
-import {usageReportSchema, type UsageReport} from './usage-report.js';
+import {
+	domainDigestSchema, usageReportSchema, type DomainDigest, type UsageReport,
+} from './usage-report.js';
 
 /** Age of the last known registration of a host in another domain after which it is no longer sent messages, in milliseconds. */
 const REMOTE_PEER_EXPIRY_MS = 30_000;
 
+/** Time for which the peers that were found are reused, in milliseconds. */
+const PEERS_CACHE_MS = 250;
+
+/** Peers found among a list of hosts. */
+type FoundPeers = {readonly hosts: ReadonlyMap<string, HostRecord>; readonly storeClockOffset: number; readonly until: Instant; readonly found: readonly HostRecord[]};
+
 /** Changes of a table, as one host sends them to another. */
 const pageSchema = z.object({
 	rows: z.array(z.object({key: z.string(), version: z.number(), value: z.optional(z.string())})),
@@ -23,6 +33,12 @@
 	ageMs: z.optional(z.number()),
 });
 
+/** A host to which messages can be sent. */
+const contactSchema = z.omit(hostSchema, {refreshedAt: true});
+
+/** A host to which messages can be sent. */
+export type HostContact = z.infer<typeof contactSchema>;
+
 /** An incarnation of a host whose registration has been refreshed, based on the usage report with this sequence number. */
 const registeredIncarnationSchema = z.object({incarnation: z.string(), sequence: z.number()});
 
@@ -41,6 +57,9 @@
 
 const messageSchema = z.discriminatedUnion('kind', [
 	z.object({kind: z.literal('usage'), report: usageReportSchema, isRelayed: z.boolean()}),
+	z.object({kind: z.literal('introduction'), host: contactSchema}),
+	z.object({kind: z.literal('introduced'), hosts: z.array(contactSchema)}),
+	z.object({kind: z.literal('digest'), digest: domainDigestSchema}),
 	z.object({kind: z.literal('registered'), news: registrationUpdateSchema}),
 	z.object({kind: z.literal('primacy'), record: primacySchema, version: z.number()}),
 	z.object({kind: z.literal('confirmation'), record: confirmationSchema}),
@@ -59,16 +78,16 @@
 
 type HostMessage = z.infer<typeof messageSchema>;
 
-/** Sends and receives datagrams. */
-export type DatagramPort = {
-	readonly send: (text: string, address: string, port: number) => void;
-	readonly registerListener: (listener: (text: string) => void) => void;
-};
-
 /** Handlers for the messages of other hosts. */
 export type HostMessageHandlers = {
 	/** Handles a usage report; the report of another domain is relayed to the own domain, unless it has been relayed already. */
 	readonly handleUsage: (report: UsageReport, isRelayed: boolean) => void;
+	/** Handles the introduction of a host that has just started; returns hosts of its domain. */
+	readonly handleIntroduction: (host: HostContact) => readonly HostContact[];
+	/** Handles the response of a seed to the introduction of this host. */
+	readonly handleIntroduced: (hosts: readonly HostContact[]) => void;
+	/** Handles the digest of the own domain's leader. */
+	readonly handleDigest: (digest: DomainDigest) => void;
 	/** Handles the notice that another host has refreshed registrations. */
 	readonly handleRegistered: (news: RegistrationUpdate) => void;
 	readonly handlePrimacy: (primacy: Versioned<PrimacyRecord>) => void;
@@ -82,18 +101,18 @@
 
 /** Sends messages to peers: the other hosts whose registration may be valid, so that they may rely on leases. */
 export type HostMessages = {
-	/** Sends a usage report to the peers that the filter selects. */
-	readonly sendUsage: (report: UsageReport, isReceiver: (host: HostRecord) => boolean) => void;
-	/** Relays the report of another domain to the hosts of the own domain. */
-	readonly sendRelayed: (report: UsageReport) => void;
+	readonly sendUsage: (report: UsageReport, receivers: readonly HostContact[]) => void;
+	/** Relays the report of another domain to hosts of the own domain. */
+	readonly sendRelayed: (report: UsageReport, receivers: readonly HostContact[]) => void;
+	readonly sendDigest: (digest: DomainDigest, receivers: readonly HostContact[]) => void;
+	/** Introduces this host to a seed. */
+	readonly sendIntroduction: (seed: SeedAddress) => void;
 	/** Notifies the hosts of the own failure domain which registrations this one has refreshed. */
 	readonly sendRegistered: (news: RegistrationUpdate) => void;
 	readonly sendPrimacy: (primacy: Versioned<PrimacyRecord>) => void;
 	readonly sendConfirmation: (confirmation: ConfirmationRecord) => void;
 	readonly sendSuspicion: (suspicion: SuspicionRecord, isSuspected: boolean) => void;
-	/** Counts the peers. */
-	readonly countPeers: () => number;
-	/** Requests the changes of a table from one host; resolves to nothing when it does not respond in time. */
+	/** Requests the changes of a table from one host. */
 	readonly requestChanges: RequestChanges;
 	/** Requests operations of a team from one host; resolves to nothing when it does not respond in time. */
 	readonly requestGrant: RequestGrant;
@@ -103,11 +122,26 @@
 };
 
 /** Creates the exchange of messages; received ones are handled once handlers are registered. */
-export function createHostMessages({blackboard, clock, identity}: Pick<FleetServices, 'blackboard' | 'clock' | 'identity'>, datagrams: DatagramPort): HostMessages {
+export function createHostMessages({blackboard, clock, identity}: Pick<FleetServices, 'blackboard' | 'clock' | 'identity'>, port: DatagramPort): HostMessages {
+	const datagrams = createDatagramParts(port, clock, identity.incarnation);
+	let peers: FoundPeers | undefined;
+
+	/** Finds the peers; every statement needs them, so the result is reused until the list of hosts changes, and for a short time at most. */
 	function findPeers(): readonly HostRecord[] {
 		const {hosts, storeClockOffset} = blackboard.read();
-		const storeNow = clock.readNow() + storeClockOffset;
-		// Records of the own domain are refreshed by each received report, those of other domains only when the store is read.
+		const now = clock.readNow();
+		if (peers?.hosts === hosts && peers.storeClockOffset === storeClockOffset && now < peers.until) {
+			return peers.found;
+		}
+
+		peers = {
+			hosts, storeClockOffset, until: now + PEERS_CACHE_MS, found: selectPeers(hosts, now + storeClockOffset),
+		};
+		return peers.found;
+	}
+
+	function selectPeers(hosts: ReadonlyMap<string, HostRecord>, storeNow: number): readonly HostRecord[] {
+		// Records of the own domain are refreshed by each received report or digest, those of other domains only when the store is read.
 		return [...hosts.values()].filter(record => record.host !== identity.host
 			&& storeNow < record.refreshedAt + (record.domain === identity.domain ? REGISTRATION_EXPIRY_MS : REMOTE_PEER_EXPIRY_MS));
 	}
@@ -121,7 +155,7 @@
 		pendingRequests.delete(id);
 	}
 
-	async function sendRequest({address, port}: HostRecord, createRequest: (id: string) => HostMessage, deadline: Deadline): Promise<ResponseMessage | undefined> {
+	async function sendRequest({address, port}: HostContact, createRequest: (id: string) => HostMessage, deadline: Deadline): Promise<ResponseMessage | undefined> {
 		requestCount++;
 		const id = `${identity.incarnation}-${requestCount}`;
 		return new Promise<ResponseMessage | undefined>(resolve => {
@@ -136,21 +170,36 @@
 		});
 	}
 
-	const {address: ownAddress, port: ownPort} = identity;
+	const {address: ownAddress, port: ownPort, host, incarnation, domain: ownDomain} = identity;
 
-	function sendToPeers(message: HostMessage, isReceiver: (host: HostRecord) => boolean = () => true): void {
+	function sendTo(receivers: readonly HostContact[], message: HostMessage): void {
 		const text = JSON.stringify(message);
-		findPeers().filter(isReceiver).forEach(({address, port}) => {
+		receivers.forEach(({address, port}) => {
 			datagrams.send(text, address, port);
 		});
 	}
 
+	function sendToPeers(message: HostMessage, isReceiver: (host: HostRecord) => boolean = () => true): void {
+		sendTo(findPeers().filter(isReceiver), message);
+	}
+
 	return {
-		sendUsage(report, isReceiver) {
-			sendToPeers({kind: 'usage', report, isRelayed: false}, isReceiver);
+		sendUsage(report, receivers) {
+			sendTo(receivers, {kind: 'usage', report, isRelayed: false});
+		},
+		sendRelayed(report, receivers) {
+			sendTo(receivers, {kind: 'usage', report, isRelayed: true});
+		},
+		sendDigest(digest, receivers) {
+			sendTo(receivers, {kind: 'digest', digest});
 		},
-		sendRelayed(report) {
-			sendToPeers({kind: 'usage', report, isRelayed: true}, ({domain}) => domain === identity.domain);
+		sendIntroduction(seed) {
+			const introduction: HostMessage = {
+				kind: 'introduction', host: {
+					host, incarnation, domain: ownDomain, address: ownAddress, port: ownPort,
+				},
+			};
+			datagrams.send(JSON.stringify(introduction), seed.address, seed.port);
 		},
 		readPeers: findPeers,
 		sendRegistered(news) {
@@ -165,15 +214,18 @@
 		sendSuspicion(record, isSuspected) {
 			sendToPeers({kind: 'suspicion', record, isSuspected});
 		},
-		countPeers: () => findPeers().length,
-		async requestChanges(host, {table, after}, deadline) {
-			const response = await sendRequest(host, id => ({
+		async requestChanges(receiver, {table, after}, deadline) {
+			const response = await sendRequest(receiver, id => ({
 				kind: 'question', id, table, after, address: ownAddress, port: ownPort,
 			}), deadline);
-			return response?.kind === 'answer' ? response.page : undefined;
+			if (response?.kind !== 'answer') {
+				return {kind: 'silent'};
+			}
+
+			return response.page ? {kind: 'page', page: response.page} : {kind: 'unknown'};
 		},
-		async requestGrant(host, {team, wanted}, deadline) {
-			const response = await sendRequest(host, id => ({
+		async requestGrant(receiver, {team, wanted}, deadline) {
+			const response = await sendRequest(receiver, id => ({
 				kind: 'grant-question', id, team, wanted, address: ownAddress, port: ownPort,
 			}), deadline);
 			return response?.kind === 'grant' ? response : undefined;
@@ -188,6 +240,12 @@
 						break;
 					}
 
+					case 'introduction': {
+						const named: HostMessage = {kind: 'introduced', hosts: [...handlers.handleIntroduction(message.host)]};
+						sendTo([message.host], named);
+						break;
+					}
+
 					case 'answer':
 					case 'grant': {
 						handleResponse(message.id, message);
@@ -206,7 +264,7 @@
 
 type RequestMessage = Extract<HostMessage, {readonly kind: 'question' | 'grant-question'}>;
 type ResponseMessage = Extract<HostMessage, {readonly kind: 'answer' | 'grant'}>;
-type NotificationMessage = Exclude<HostMessage, RequestMessage | ResponseMessage>;
+type NotificationMessage = Exclude<HostMessage, RequestMessage | ResponseMessage | {readonly kind: 'introduction'}>;
 
 function createResponse(request: RequestMessage, handlers: HostMessageHandlers): ResponseMessage {
 	if (request.kind === 'grant-question') {
@@ -224,6 +282,16 @@
 			break;
 		}
 
+		case 'introduced': {
+			handlers.handleIntroduced(message.hosts);
+			break;
+		}
+
+		case 'digest': {
+			handlers.handleDigest(message.digest);
+			break;
+		}
+
 		case 'registered': {
 			handlers.handleRegistered(message.news);
 			break;
--- a/packages/heatherpond-fleet/src/host-registration.ts
+++ b/packages/heatherpond-fleet/src/host-registration.ts
@@ -1,18 +1,19 @@
 /**
  * Maintains the registrations of hosts, so that promotions wait for their confirmations, and reads the list of registered
- * hosts. The domain leader refreshes the registrations of all hosts of its failure domain from which it receives reports,
- * in one transaction, and notifies them; a host that is not notified in time refreshes its own registration. A host whose
- * registration has expired relies on no lease.
+ * hosts. The domain leader registers all hosts of its failure domain from which it receives reports, in transactions of many
+ * hosts, and notifies them; a host that is not notified in time registers itself. A host whose registration has expired
+ * relies on no lease.
  */
 import {waitUntil, type Instant} from 'heatherpond-core';
 import type {FindDomainLeader} from './domain-leader.js';
 import {HOSTS_TABLE, type HostRecord} from './fleet-records.js';
 import type {FleetServices} from './fleet-services.js';
-import {applyRemoteDomainHosts, applyHostContact, readHosts} from './host-list.js';
+import {registerSuspensionListener} from './fleet-state.js';
+import {applyRemoteDomainHosts, applyHostContacts, readHosts} from './host-list.js';
 import type {RegisteredIncarnation, RegistrationUpdate} from './host-messages.js';
 import {REGISTRATION_MS} from './promotion-decisions.js';
 import {StoreError, type TablePage} from './store-port.js';
-import type {ReceivedReport} from './usage-exchange.js';
+import type {ReceivedReport} from './domain-peers.js';
 
 /** Dependencies of the registration. */
 export type HostRegistrationOptions = {
@@ -25,6 +26,8 @@
 	readonly findSentAt: (run: RegisteredIncarnation) => Instant | undefined;
 	/** Notifies the domain peers which registrations were refreshed, and which hosts exist in other failure domains. */
 	readonly sendRegistered: (news: RegistrationUpdate) => void;
+	/** Resolves when this host has found its domain leader or given up; until then it does not register itself. */
+	readonly waitUntilDiscovered: () => Promise<void>;
 	readonly signal: AbortSignal;
 };
 
@@ -32,6 +35,8 @@
 export type HostRegistration = {
 	/** Applies the notification that another host has refreshed registrations. */
 	readonly applyRegistrationUpdate: (news: RegistrationUpdate) => void;
+	/** Registers domain peers that have just started; peers that start at about the same time share one transaction. */
+	readonly registerNewPeers: () => void;
 };
 
 /** Milliseconds between refreshes by the domain leader. */
@@ -48,13 +53,20 @@
 /** Milliseconds between the initial refreshes. */
 const STARTUP_REFRESH_INTERVAL_MS = 500;
 /** Milliseconds between checks whether a refresh is due. */
-const CHECK_INTERVAL_MS = 100;
+const CHECK_INTERVAL_MS = 400;
+/** Milliseconds that a domain leader waits for more peers that have just started. */
+const NEW_PEERS_DELAY_MS = 60;
+/** Milliseconds after its start for which a host with a domain leader waits to be registered by it. */
+const STARTUP_GRACE_MS = 1200;
 /** Milliseconds within which the store must respond. */
 const STORE_TIMEOUT_MS = 900;
 /** Maximum number of hosts of other failure domains in one notification. */
 const REMOTE_HOSTS_PER_MESSAGE = 20;
 /** Milliseconds of the store's clock for which the row of a host that no longer refreshes its registration is retained. */
 const EXPIRED_ROW_RETENTION_MS = 60_000;
+/** Maximum numbers of hosts registered, and of expired rows removed, in one transaction; the store accepts 100 entries, two for each registration. */
+const MAX_REGISTERED_PER_TRANSACTION = 40;
+const MAX_REMOVED_PER_TRANSACTION = 15;
 
 type Registration = HostRegistrationOptions & {
 	/** Number of successful refreshes. */
@@ -62,57 +74,93 @@
 	/** Number of consecutive failed refreshes. */
 	failures: number;
 	nextRefreshAt: Instant;
+	/** When peers that have just started are to be registered; infinite while there are none. */
+	newPeersDueAt: Instant;
 	listReadAt: Instant;
 	/** Row versions by host, as last read or written, so that a delayed write cannot overwrite a newer registration. */
 	versions: ReadonlyMap<string, number>;
 	/** Index of the next host of another failure domain to include in a notification. */
 	nextRemoteHost: number;
+	readonly startedAt: Instant;
+	/** Ends the wait for the next check. */
+	wake: AbortController;
 };
 
 /** Starts to refresh the registration periodically, until the signal aborts. */
 export function startHostRegistration(options: HostRegistrationOptions): HostRegistration {
+	const {services: {blackboard, clock}, signal} = options;
+	const startedAt = clock.readNow();
 	const registration: Registration = {
-		...options, refreshes: 0, failures: 0, nextRefreshAt: options.services.clock.readNow(), listReadAt: Number.NEGATIVE_INFINITY, versions: new Map(), nextRemoteHost: 0,
+		...options, refreshes: 0, failures: 0, nextRefreshAt: startedAt, newPeersDueAt: Number.POSITIVE_INFINITY, listReadAt: Number.NEGATIVE_INFINITY, versions: new Map(), nextRemoteHost: 0, startedAt, wake: new AbortController(),
 	};
+	const stopListening = registerSuspensionListener(blackboard, () => {
+		registration.nextRefreshAt = clock.readNow();
+		registration.wake.abort();
+	});
+	signal.addEventListener('abort', () => {
+		stopListening();
+		registration.wake.abort();
+	}, {once: true});
 	void runRegistration(registration);
 	return {
 		applyRegistrationUpdate({runs, farHosts}) {
-			const {blackboard, clock} = options.services;
 			blackboard.update(state => applyRemoteDomainHosts(state, farHosts));
-			// After a suspension the send times of earlier reports are invalid; the host has to register itself.
-			const isRegistered = blackboard.read().registeredUntil > clock.readNow();
 			runs.forEach(run => {
 				const sentAt = options.findSentAt(run);
-				if (isRegistered && sentAt !== undefined) {
+				if (sentAt !== undefined) {
 					applyRefresh(options.services, sentAt);
 				}
 			});
 		},
+		registerNewPeers() {
+			if (options.findDomainLeader() === undefined && registration.failures === 0) {
+				registration.newPeersDueAt = Math.min(registration.newPeersDueAt, clock.readNow() + NEW_PEERS_DELAY_MS);
+				registration.wake.abort();
+			}
+		},
 	};
 }
 
 async function runRegistration(registration: Registration): Promise<void> {
 	const {services: {clock, blackboard}, signal} = registration;
+	await registration.waitUntilDiscovered();
 	while (!signal.aborted) {
-		if (!blackboard.read().isStopping && isRefreshDue(registration)) {
+		registration.wake = new AbortController();
+		const isDue = clock.readNow() >= readNextRefresh(registration) && isRefreshDue(registration);
+		if (!blackboard.read().isStopping && isDue) {
 			await runRefresh(registration);
 		}
 
-		await waitUntil(clock, Math.max(clock.readNow() + CHECK_INTERVAL_MS, registration.nextRefreshAt), signal);
+		await waitUntil(clock, findNextCheck(registration), registration.wake.signal);
 	}
 }
 
+/** Finds the next instant at which a refresh may be due; without a pending refresh it is checked at intervals. */
+function findNextCheck(registration: Registration): Instant {
+	const now = registration.services.clock.readNow();
+	const nextRefreshAt = readNextRefresh(registration);
+	return nextRefreshAt > now ? Math.min(nextRefreshAt, now + CHECK_INTERVAL_MS) : now + CHECK_INTERVAL_MS;
+}
+
+function readNextRefresh({nextRefreshAt, newPeersDueAt}: Registration): Instant {
+	return Math.min(nextRefreshAt, newPeersDueAt);
+}
+
 /** A host that the domain leader registers refreshes its registration itself only shortly before it expires. */
-function isRefreshDue({services: {clock, blackboard}, findDomainLeader, refreshes}: Registration): boolean {
-	const isStarting = refreshes < STARTUP_REFRESHES;
-	const {registeredUntil, hasUnknownHosts, primacyVerifiedAt} = blackboard.read();
-	const isLate = registeredUntil <= clock.readNow() + SELF_REFRESH_THRESHOLD_MS;
-	return isStarting || isLate || hasUnknownHosts || !Number.isFinite(primacyVerifiedAt) || findDomainLeader() === undefined;
+function isRefreshDue({services: {clock, blackboard}, findDomainLeader, startedAt}: Registration): boolean {
+	if (findDomainLeader() === undefined) {
+		return true;
+	}
+
+	const now = clock.readNow();
+	const {registeredUntil} = blackboard.read();
+	return now >= startedAt + STARTUP_GRACE_MS && registeredUntil <= now + SELF_REFRESH_THRESHOLD_MS;
 }
 
 async function runRefresh(registration: Registration): Promise<void> {
 	const {services: {clock}} = registration;
 	const startedAt = clock.readNow();
+	registration.newPeersDueAt = Number.POSITIVE_INFINITY;
 	const isRefreshed = await updateRegistrations(registration);
 	registration.refreshes += isRefreshed ? 1 : 0;
 	registration.failures = isRefreshed ? 0 : registration.failures + 1;
@@ -144,38 +192,30 @@
 }
 
 async function updateRegistrations(registration: Registration): Promise<boolean> {
-	const {services, findDomainLeader, sendRegistered} = registration;
-	const {clock, store, identity, blackboard, writeEvent} = services;
+	const {services, findDomainLeader} = registration;
+	const {clock, identity, blackboard, writeEvent} = services;
 	const {host, incarnation, domain, address, port} = identity;
 	try {
 		const sentAt = clock.readNow();
 		const page = isListDue(registration) ? await readList(registration) : undefined;
 		const hosts = page ? readHosts(page) : blackboard.read().hosts;
 		const offset = page ? page.storeNow - sentAt : blackboard.read().storeClockOffset;
-		const record: HostRecord = {
+		const own: HostRecord = {
 			host, incarnation, domain, address, port, refreshedAt: Math.floor(sentAt + offset),
 		};
-		const peers = findDomainLeader() === undefined ? findPeersToRefresh(registration, hosts) : [];
-		const peerRecords = peers.map(({known, heard}) => ({...known, refreshedAt: Math.floor(heard.receivedAt + offset)}));
-		const expired = [...hosts.values()].filter(other => other.refreshedAt + EXPIRED_ROW_RETENTION_MS < sentAt + offset && other.host !== host);
-		const records = [record, ...peerRecords];
-		const result = await store.writeRows({
-			expected: records.map(put => ({table: HOSTS_TABLE, key: put.host, version: registration.versions.get(put.host) ?? 0})),
-			puts: records.map(put => ({table: HOSTS_TABLE, key: put.host, value: JSON.stringify(put)})),
-			removed: expired.map(other => ({table: HOSTS_TABLE, key: other.host})),
-		}, clock.readNow() + STORE_TIMEOUT_MS);
-		if (result.kind === 'conflict') {
-			registration.listReadAt = Number.NEGATIVE_INFINITY;
-		} else {
-			registration.versions = new Map([...registration.versions, ...records.map(put => [put.host, result.version] as const)]);
-			blackboard.update(state => ({...state, hosts: new Map([...hosts, ...records.map(put => [put.host, put] as const)]), hasUnknownHosts: false}));
-			applyRefresh(services, sentAt);
-			if (peers.length > 0) {
-				sendRegistered({runs: peers.map(({heard: {report}}) => ({incarnation: report.incarnation, sequence: report.sequence})), farHosts: selectRemoteHosts(registration, hosts)});
-			}
+		const peers = findDomainLeader() === undefined ? findPeersToRegister(registration, hosts, offset) : [];
+		blackboard.update(state => page ? {...state, hosts} : state);
+		const isOwnWritten = await writeRegistrations(registration, {
+			records: [own, ...peers.slice(0, MAX_REGISTERED_PER_TRANSACTION - 1).map(heard => createPeerRecord(heard, offset))],
+			removed: findExpiredHosts(registration, hosts, sentAt + offset),
+		});
+		if (!isOwnWritten) {
+			return false;
 		}
 
-		return result.kind === 'done';
+		applyRefresh(services, sentAt);
+		sendRegistrations(registration, peers.slice(0, MAX_REGISTERED_PER_TRANSACTION - 1));
+		return await writeFurtherRegistrations(registration, peers.slice(MAX_REGISTERED_PER_TRANSACTION - 1), offset);
 	} catch (error) {
 		if (!(error instanceof StoreError)) {
 			throw error;
@@ -186,10 +226,64 @@
 	}
 }
 
+/** Registers the domain peers that did not fit into the first transaction; resolves to whether all are registered. */
+async function writeFurtherRegistrations(registration: Registration, peers: readonly ReceivedReport[], offset: number): Promise<boolean> {
+	if (peers.length === 0) {
+		return true;
+	}
+
+	const next = peers.slice(0, MAX_REGISTERED_PER_TRANSACTION);
+	if (!await writeRegistrations(registration, {records: next.map(heard => createPeerRecord(heard, offset)), removed: []})) {
+		return false;
+	}
+
+	sendRegistrations(registration, next);
+	return writeFurtherRegistrations(registration, peers.slice(MAX_REGISTERED_PER_TRANSACTION), offset);
+}
+
+/** Writes registrations and removes others in one transaction; resolves to whether no row had changed in the meantime. */
+async function writeRegistrations(registration: Registration, {records, removed}: {readonly records: readonly HostRecord[]; readonly removed: readonly string[]}): Promise<boolean> {
+	const {services: {store, clock, blackboard}} = registration;
+	const result = await store.writeRows({
+		expected: records.map(record => ({table: HOSTS_TABLE, key: record.host, version: registration.versions.get(record.host) ?? 0})),
+		puts: records.map(record => ({table: HOSTS_TABLE, key: record.host, value: JSON.stringify(record)})),
+		removed: removed.map(key => ({table: HOSTS_TABLE, key})),
+	}, clock.readNow() + STORE_TIMEOUT_MS);
+	if (result.kind === 'conflict') {
+		registration.listReadAt = Number.NEGATIVE_INFINITY;
+		return false;
+	}
+
+	registration.versions = new Map([...registration.versions, ...records.map(record => [record.host, result.version] as const)]);
+	blackboard.update(state => ({...state, hosts: new Map([...state.hosts, ...records.map(record => [record.host, record] as const)])}));
+	return true;
+}
+
+function sendRegistrations(registration: Registration, peers: readonly ReceivedReport[]): void {
+	if (peers.length > 0) {
+		const {hosts} = registration.services.blackboard.read();
+		registration.sendRegistered({runs: peers.map(({report: {incarnation, sequence}}) => ({incarnation, sequence})), farHosts: selectRemoteHosts(registration, hosts)});
+	}
+}
+
+function createPeerRecord({report: {host, incarnation, domain, address, port}, receivedAt}: ReceivedReport, offset: number): HostRecord {
+	return {
+		host, incarnation, domain, address, port, refreshedAt: Math.floor(receivedAt + offset),
+	};
+}
+
+/** Finds hosts whose registration expired long ago. */
+function findExpiredHosts({services: {identity}}: Registration, hosts: ReadonlyMap<string, HostRecord>, storeNow: number): readonly string[] {
+	return [...hosts.values()]
+		.filter(({host, refreshedAt}) => refreshedAt + EXPIRED_ROW_RETENTION_MS < storeNow && host !== identity.host)
+		.map(({host}) => host)
+		.slice(0, MAX_REMOVED_PER_TRANSACTION);
+}
+
 /** A host that the domain leader registers does not know the current row versions and reads the list before each refresh. */
 function isListDue({services: {clock, blackboard}, findDomainLeader, refreshes, listReadAt}: Registration): boolean {
-	const {hasUnknownHosts, hosts, primacyVerifiedAt} = blackboard.read();
-	return refreshes < STARTUP_REFRESHES || findDomainLeader() !== undefined || hasUnknownHosts || hosts.size === 0 || !Number.isFinite(primacyVerifiedAt)
+	const {hosts, primacyVerifiedAt} = blackboard.read();
+	return refreshes < STARTUP_REFRESHES || findDomainLeader() !== undefined || hosts.size === 0 || !Number.isFinite(primacyVerifiedAt)
 		|| clock.readNow() >= listReadAt + LIST_READ_INTERVAL_MS;
 }
 
@@ -202,11 +296,11 @@
 	return page;
 }
 
-/** Finds the domain peers that send reports and have registered their current incarnation. */
-function findPeersToRefresh({readReceivedReports}: Registration, hosts: ReadonlyMap<string, HostRecord>): ReadonlyArray<{readonly known: HostRecord; readonly heard: ReceivedReport}> {
-	return readReceivedReports().flatMap(heard => {
-		const known = hosts.get(heard.report.host);
-		return known?.incarnation === heard.report.incarnation ? [{known, heard}] : [];
+/** Finds the domain peers whose reports prove that they run, unless a later incarnation of them is registered. */
+function findPeersToRegister({readReceivedReports}: Registration, hosts: ReadonlyMap<string, HostRecord>, offset: number): readonly ReceivedReport[] {
+	return readReceivedReports().filter(({report, receivedAt}) => {
+		const known = hosts.get(report.host);
+		return !known || known.incarnation === report.incarnation || receivedAt - report.runningMs + offset > known.refreshedAt;
 	});
 }
 
@@ -223,7 +317,7 @@
 	const now = clock.readNow();
 	const isFirst = blackboard.read().registeredUntil <= now;
 	blackboard.update(state => ({
-		...applyHostContact(state, identity.host, refreshedAt),
+		...applyHostContacts(state, [identity], refreshedAt),
 		registeredUntil: Math.max(state.registeredUntil, refreshedAt + REGISTRATION_MS),
 		registeredAt: isFirst ? now : state.registeredAt,
 	}));
--- a/packages/heatherpond-fleet/src/promotion-controller.ts
+++ b/packages/heatherpond-fleet/src/promotion-controller.ts
@@ -32,6 +32,8 @@
 	/** Last known registration of each database, kept after the registration has disappeared. */
 	readonly lastKnownUpstreams: Map<string, Upstream>;
 	nextAttemptAt: Instant;
+	/** When the lack of a group's primacy record was first noticed; infinite while every group has one. */
+	unrecordedSince: Instant;
 };
 
 const STEP_INTERVAL_MS = 50;
@@ -42,11 +44,13 @@
 /** Additional delay in milliseconds of hosts that are not preferred. */
 const NON_PREFERRED_DELAY_MS = 250;
 const RETRY_DELAY_MS = 250;
+/** Milliseconds that hosts which are not preferred leave the preferred ones to record the initial primaries. */
+const NON_PREFERRED_RECORD_DELAY_MS = 2500;
 
 /** Starts the controller, which runs until the signal aborts. */
 export function startPromotionController(options: PromotionControllerOptions): void {
 	const controller: Controller = {
-		...options, runningGroups: new Set(), firstSeenAt: new Map(), lastKnownUpstreams: new Map(), nextAttemptAt: 0,
+		...options, runningGroups: new Set(), firstSeenAt: new Map(), lastKnownUpstreams: new Map(), nextAttemptAt: 0, unrecordedSince: Number.POSITIVE_INFINITY,
 	};
 	void runPeriodically(options.services.clock, STEP_INTERVAL_MS, async () => {
 		await runStep(controller);
@@ -257,10 +261,12 @@
 
 /** Records the initial primary of a group that has no record, after the database has reported itself as primary. */
 async function writeInitialPrimaries(controller: Controller, state: FleetState): Promise<void> {
-	const {services} = controller;
+	const {services, isPreferred} = controller;
 	const {clock, databases, store, random, writeEvent} = services;
 	const unknown = [...state.upstreams.values()].filter(({group, claimsPrimary, isLeaving}) => claimsPrimary && !isLeaving && !state.primacies.has(group));
-	if (unknown.length === 0 || !Number.isFinite(state.primacyVerifiedAt)) {
+	controller.unrecordedSince = unknown.length === 0 ? Number.POSITIVE_INFINITY : Math.min(controller.unrecordedSince, clock.readNow());
+	const isOwnTurn = isPreferred() || clock.readNow() >= controller.unrecordedSince + NON_PREFERRED_RECORD_DELAY_MS;
+	if (unknown.length === 0 || !Number.isFinite(state.primacyVerifiedAt) || !isOwnTurn) {
 		return;
 	}
 
--- a/packages/heatherpond-fleet/src/table-cache.ts
+++ b/packages/heatherpond-fleet/src/table-cache.ts
@@ -7,7 +7,7 @@
 export type TableCache = {
 	/** Replaces the table by a snapshot, or merges changes into it. */
 	readonly applyUpdate: (table: string, update: TableUpdate) => void;
-	/** Reads the changes after a version with their age; nothing when they are unknown, too old or too large. */
+	/** Reads the changes after a version, or the whole table after version 0, with their age; nothing when they are unknown, too old or too large. */
 	readonly readChanges: (table: string, after: number, now: Instant) => TablePage | undefined;
 	/** Discards all tables, after a suspension that the clock did not measure. */
 	readonly clear: () => void;
@@ -25,8 +25,8 @@
 
 /** Maximum age in milliseconds at which cached rows are sent to domain peers. */
 const MAX_AGE_MS = 1700;
-/** Maximum total length of the row values in one response, which is sent as a datagram; larger changes are read from the store. */
-const MAX_RESPONSE_CHARACTERS = 6000;
+/** Maximum total length of the row values in one response, which is sent in datagrams; larger changes are read from the store. */
+const MAX_RESPONSE_CHARACTERS = 60_000;
 
 /** Creates an empty cache. */
 export function createTableCache(): TableCache {
@@ -48,11 +48,11 @@
 		},
 		readChanges(table, after, now) {
 			const known = tables.get(table);
-			if (!known || after < known.baseVersion || now - known.verifiedAt > MAX_AGE_MS) {
+			if (!known || (after > 0 && after < known.baseVersion) || now - known.verifiedAt > MAX_AGE_MS) {
 				return undefined;
 			}
 
-			const rows = [...known.rows.values()].filter(row => row.version > after);
+			const rows = [...known.rows.values()].filter(row => after === 0 ? row.value !== undefined : row.version > after);
 			const characters = rows.reduce((sum, {value}) => sum + (value?.length ?? 0), 0);
 			return characters > MAX_RESPONSE_CHARACTERS
 				? undefined
--- a/packages/heatherpond-fleet/src/table-follower.ts
+++ b/packages/heatherpond-fleet/src/table-follower.ts
@@ -31,6 +31,8 @@
 	/** Called with the error message of every failed request. */
 	readonly handleFailure: (reason: string) => void;
 	readonly random: () => number;
+	/** Resolves when the first request may be sent; by default it is sent at once. */
+	readonly waitUntilStart?: () => Promise<void>;
 	readonly signal: AbortSignal;
 };
 
@@ -95,6 +97,10 @@
 		options.signal.addEventListener('abort', () => {
 			wake.abort();
 		}, {once: true});
+		if (options.waitUntilStart) {
+			await options.waitUntilStart();
+		}
+
 		while (!options.signal.aborted) {
 			// A refresh that is requested while a request is in flight triggers another request.
 			wake = new AbortController();
--- a/packages/heatherpond-fleet/src/team-limits.ts
+++ b/packages/heatherpond-fleet/src/team-limits.ts
@@ -5,8 +5,8 @@
  */
 import type {Clock, Deadline, Instant} from 'heatherpond-core';
 import type {AdmissionPort, WriteEvent} from 'heatherpond-session';
-import type {HostRecord} from './fleet-records.js';
 import type {FleetBlackboard} from './fleet-state.js';
+import type {HostContact} from './host-messages.js';
 import {recordOperation, readDemand, type DemandRate} from './demand-rate.js';
 import {
 	recordReportedDemand, createTokenBucket, takeTokens, readLimitShare, type OtherDomains, type TeamLimit, type TokenBucket,
@@ -16,7 +16,7 @@
 export type Grant = {readonly granted: number; readonly retryAfterMs: number};
 
 /** Requests operations from the domain leader; resolves to nothing when it does not respond by the deadline. */
-export type RequestGrant = (host: HostRecord, request: {readonly team: string; readonly wanted: number}, deadline: Deadline) => Promise<Grant | undefined>;
+export type RequestGrant = (host: HostContact, request: {readonly team: string; readonly wanted: number}, deadline: Deadline) => Promise<Grant | undefined>;
 
 /** Demand of a team at the other hosts. */
 export type TeamUsage = {
@@ -42,7 +42,7 @@
 	readonly blackboard: FleetBlackboard;
 	readonly readUsage: (team: string) => TeamUsage;
 	/** Finds the domain leader; nothing when this host is the leader. */
-	readonly findDomainLeader: () => HostRecord | undefined;
+	readonly findDomainLeader: () => HostContact | undefined;
 	readonly requestGrant: RequestGrant;
 	readonly writeEvent: WriteEvent;
 };
@@ -101,7 +101,7 @@
 		return {granted, retryAfterMs};
 	}
 
-	async function requestFromLeader(leader: HostRecord, team: string, limit: TeamLimit): Promise<number> {
+	async function requestFromLeader(leader: HostContact, team: string, limit: TeamLimit): Promise<number> {
 		const rate = readDemand(demands.get(team), limit, clock.readNow());
 		const wanted = Math.min(MAX_REQUESTED, Math.max(1, Math.ceil(rate * REQUESTED_DEMAND_S)));
 		const grant = await options.requestGrant(leader, {team, wanted}, clock.readNow() + GRANT_TIMEOUT_MS)
--- a/packages/heatherpond-fleet/src/usage-exchange.ts
+++ b/packages/heatherpond-fleet/src/usage-exchange.ts
@@ -1,21 +1,24 @@
 /**
- * Exchanges usage reports. Each host reports to the hosts of its own failure domain, and the leader of each domain sends the
- * sum over its domain to one host of every other domain, which relays it to its domain peers.
+ * Exchanges usage reports. The hosts of a failure domain report to their leader, which sends them a digest of all reports;
+ * while no digest arrives, they report to each other, so that they know whom to follow next. The leader also sends the sum
+ * over its domain to one host of every other domain, which relays it to its domain peers.
  */
 import {runPeriodically, type Instant} from 'heatherpond-core';
-import {findDomainLeader, type DomainPeer, type FindDomainLeader} from './domain-leader.js';
-import type {HostRecord} from './fleet-records.js';
+import type {FindDomainLeader} from './domain-leader.js';
+import {
+	createDomainPeers, DIGEST_EXPIRY_MS, REPORT_EXPIRY_MS, type DomainPeers, type ReceivedReport,
+} from './domain-peers.js';
 import type {FleetServices} from './fleet-services.js';
-import type {HostMessages, RegisteredIncarnation} from './host-messages.js';
+import {registerSuspensionListener} from './fleet-state.js';
+import type {HostContact, HostMessages, RegisteredIncarnation} from './host-messages.js';
+import {countTeamDemand, createDatabaseUsageCache, sumUsage} from './remote-usage.js';
 import type {TeamUsage} from './team-limits.js';
-import type {UsageReport} from './usage-report.js';
+import type {DomainDigest, DomainUsage, UsageReport} from './usage-report.js';
 
 /** Time between two reports of a host, in milliseconds. */
 const REPORT_INTERVAL_MS = 1200;
-/** Age up to which a report counts as recent and its sender as live, in milliseconds. */
-const REPORT_EXPIRY_MS = 2800;
-/** Minimum time between two extra reports triggered by the start of other hosts, in milliseconds. */
-const MIN_NEW_HOST_REPORT_INTERVAL_MS = 100;
+/** Minimum time between two digests that answer the digest of another host, in milliseconds. */
+const MIN_DIGEST_REPLY_INTERVAL_MS = 100;
 /** Age up to which reports are kept, in milliseconds; until then the last report of a silent domain still counts as its demand. */
 const REPORT_RETENTION_MS = 15_000;
 /** Number of hosts that receive the domain's report in a domain from which no recent report has come. */
@@ -33,6 +36,12 @@
 export type UsageExchange = {
 	/** Handles the report of another host; reports that are older than the last one of the same incarnation are ignored. */
 	readonly applyReport: (report: UsageReport, isRelayed: boolean) => void;
+	/** Handles the digest of a host of the own domain that considers itself the leader. */
+	readonly applyDigest: (digest: DomainDigest) => void;
+	/** Reports to hosts of the own domain that another host has named. */
+	readonly applyIntroduced: (hosts: readonly HostContact[]) => void;
+	/** Finds the leader of a domain that has reported recently, or of the own domain; `undefined` when it is not known. */
+	readonly findLeaderOf: (domain: string) => HostContact | undefined;
 	/** Reads the demand of a team at the other hosts. */
 	readonly readTeam: (team: string) => TeamUsage;
 	/** Notifies the domain peers that this host has shut down. */
@@ -56,170 +65,227 @@
 	readonly services: FleetServices;
 	readonly messages: HostMessages;
 	readonly readHostUsage: () => HostUsage;
+	/** Whether this host still searches for the leader of its domain, and does not act as the leader until it has given up. */
+	readonly isDiscovering: () => boolean;
+	/** Called when a domain peer has sent its first report. */
+	readonly handleNewPeer: () => void;
 	readonly signal: AbortSignal;
 };
 
-/** A report of another host or domain, and when it was received. */
-export type ReceivedReport = {readonly report: UsageReport; readonly receivedAt: Instant};
-
 /** Starts the exchange; it runs until the signal aborts. */
-export function startUsageExchange({services, messages, readHostUsage, signal}: UsageExchangeOptions): UsageExchange {
+export function startUsageExchange({services, messages, readHostUsage, isDiscovering, handleNewPeer, signal}: UsageExchangeOptions): UsageExchange {
 	const {clock, identity} = services;
-	/** Last report of each domain peer, by host. */
-	const domainPeerReports = new Map<string, ReceivedReport>();
+	const peers = createDomainPeers({
+		clock, identity, readRegistered: () => messages.readPeers().filter(({domain}) => domain === identity.domain),
+	});
 	const startedAt = clock.readNow();
 	/** Last report of each other failure domain, by domain. */
 	const domainReports = new Map<string, ReceivedReport>();
 	let sequence = 0;
+	let lastOwnUsage: HostUsage = {isVerified: false, teams: {}, databases: {}};
 	/** Send times of the last reports, by sequence number. */
 	const sentAt = new Map<number, Instant>();
-	let lastExtraReportAt: Instant = Number.NEGATIVE_INFINITY;
+	let lastDigestReplyAt: Instant = Number.NEGATIVE_INFINITY;
+	let stopDigestTimer = (): void => undefined;
 
 	function isRecent({receivedAt}: ReceivedReport): boolean {
 		return receivedAt + REPORT_EXPIRY_MS > clock.readNow();
 	}
 
-	function readRecentPeerReports(): readonly UsageReport[] {
-		return [...domainPeerReports.values()].filter(isRecent).map(({report}) => report);
-	}
-
-	function readDomainPeers(): readonly DomainPeer[] {
-		return messages.readPeers().flatMap(record => {
-			const received = record.domain === identity.domain ? domainPeerReports.get(record.host) : undefined;
-			return received && isRecent(received) ? [{...record, startedAt: received.receivedAt - received.report.runningMs}] : [];
-		});
+	function createReport(hasLeft = false): UsageReport {
+		const now = clock.readNow();
+		sequence++;
+		sentAt.set(sequence, now);
+		sentAt.delete(sequence - MAX_REMEMBERED_REPORTS);
+		lastOwnUsage = readHostUsage();
+		const {host, incarnation, domain, address, port} = identity;
+		return {
+			host, incarnation, domain, address, port, sequence, isOfDomain: false, hasLeft, runningMs: Math.round(now - startedAt), ...lastOwnUsage,
+		};
 	}
 
-	function findLeader(): HostRecord | undefined {
-		return findDomainLeader({host: identity.host, startedAt}, readDomainPeers(), clock.readNow());
+	function createDigest(own: UsageReport): DomainDigest {
+		return {own, usage: sumUsage([own, ...peers.readReports().map(({report}) => report)]), members: [...peers.readMembers()]};
 	}
 
-	async function sendReport(hasLeft = false): Promise<void> {
-		sequence++;
-		sentAt.set(sequence, clock.readNow());
-		sentAt.delete(sequence - MAX_REMEMBERED_REPORTS);
-		const report: UsageReport = {
-			host: identity.host, incarnation: identity.incarnation, sequence, domain: identity.domain, isOfDomain: false, hasLeft, runningMs: Math.round(clock.readNow() - startedAt), ...readHostUsage(),
-		};
-		messages.sendUsage(report, ({domain}) => domain === identity.domain);
-		if (!hasLeft && !findLeader()) {
-			const receivers = findRemoteReceivers();
-			messages.sendUsage(computeDomainReport(report, readRecentPeerReports()), ({host}) => receivers.has(host));
+	function sendReport(): void {
+		const report = createReport();
+		const leader = peers.findLeader();
+		if (!leader && !isDiscovering()) {
+			const digest = createDigest(report);
+			messages.sendDigest(digest, peers.readContacts());
+			messages.sendUsage({...report, ...digest.usage, isOfDomain: true}, findRemoteReceivers());
+			return;
 		}
 
-		const now = clock.readNow();
-		[domainPeerReports, domainReports].forEach(reports => {
-			[...reports].filter(([, {receivedAt}]) => receivedAt + REPORT_RETENTION_MS < now).forEach(([name]) => {
-				reports.delete(name);
-			});
+		messages.sendUsage(report, leader && peers.readDigest() ? [leader] : peers.readContacts());
+	}
+
+	function removeExpired(): void {
+		peers.removeExpired();
+		const oldest = clock.readNow() - REPORT_RETENTION_MS;
+		[...domainReports].filter(([, {receivedAt}]) => receivedAt < oldest).forEach(([domain]) => {
+			domainReports.delete(domain);
 		});
 	}
 
 	function applyReport(report: UsageReport, isRelayed: boolean): void {
 		const isDomainPeer = report.domain === identity.domain;
-		const [reports, name] = isDomainPeer ? [domainPeerReports, report.host] as const : [domainReports, report.domain] as const;
-		const last = reports.get(name)?.report;
-		const isSameIncarnation = last?.incarnation === report.incarnation;
 		// Reports of the own domain must come from single hosts; those of other domains must be sums over the domain.
-		if (report.host === identity.host || report.isOfDomain === isDomainPeer || (isSameIncarnation && last.sequence >= report.sequence)) {
+		if (report.host === identity.host || report.isOfDomain === isDomainPeer) {
 			return;
 		}
 
+		databaseUsage.clear();
+		if (isDomainPeer) {
+			applyPeerReport(report);
+		} else {
+			applyDomainReport(report, isRelayed);
+		}
+	}
+
+	function applyPeerReport(report: UsageReport): void {
 		if (report.hasLeft) {
-			reports.delete(name);
+			peers.removeHost(report.host);
+		} else if (peers.applyReport(report)) {
+			introduceSelf(report);
+			handleNewPeer();
+		}
+	}
+
+	/** Makes this host known to one that has just started: it needs the demand at the other hosts, and whom to follow. */
+	function introduceSelf(newHost: HostContact): void {
+		if (!peers.findLeader() && !isDiscovering()) {
+			messages.sendDigest(createDigest(createReport()), [newHost]);
+		} else if (!peers.readDigest()) {
+			messages.sendUsage(createReport(), [newHost]);
+		}
+	}
+
+	function applyDomainReport(report: UsageReport, isRelayed: boolean): void {
+		const last = domainReports.get(report.domain)?.report;
+		if (last?.incarnation === report.incarnation && last.sequence >= report.sequence) {
 			return;
 		}
 
-		reports.set(name, {report, receivedAt: clock.readNow()});
-		if (report.isOfDomain && !isRelayed) {
-			messages.sendRelayed(report);
+		domainReports.set(report.domain, {report, receivedAt: clock.readNow()});
+		if (!isRelayed) {
+			messages.sendRelayed(report, peers.readContacts());
+		}
+	}
+
+	function applyDigest(digest: DomainDigest): void {
+		databaseUsage.clear();
+		const isNew = peers.applyReport(digest.own);
+		if (isNew) {
+			handleNewPeer();
 		}
 
-		if (!isSameIncarnation) {
-			sendReportToNewHost();
+		if (peers.applyDigest(digest)) {
+			stopDigestTimer();
+			stopDigestTimer = clock.registerTimer(clock.readNow() + DIGEST_EXPIRY_MS, sendReport);
+		} else if (!peers.findLeader() && !isDiscovering() && (isNew || clock.readNow() >= lastDigestReplyAt + MIN_DIGEST_REPLY_INTERVAL_MS)) {
+			// Two hosts consider themselves the leader; the other one learns from the digest that it is not.
+			lastDigestReplyAt = clock.readNow();
+			messages.sendDigest(createDigest(createReport()), [digest.own]);
 		}
 	}
 
 	/** Finds the host of each other domain that sends its reports, or its first hosts by name while no recent report is known. */
-	function findRemoteReceivers(): ReadonlySet<string> {
+	function findRemoteReceivers(): readonly HostContact[] {
 		const remoteHosts = messages.readPeers().filter(({domain}) => domain !== identity.domain);
-		return new Set([...new Set(remoteHosts.map(({domain}) => domain))].flatMap(domain => {
+		return [...new Set(remoteHosts.map(({domain}) => domain))].flatMap(domain => {
 			const received = domainReports.get(domain);
-			const names = remoteHosts.filter(peer => peer.domain === domain).map(({host}) => host).toSorted();
-			return received && isRecent(received) && names.includes(received.report.host) ? [received.report.host] : names.slice(0, RECEIVERS_PER_SILENT_DOMAIN);
-		}));
+			const hosts = remoteHosts.filter(peer => peer.domain === domain).toSorted((left, right) => left.host < right.host ? -1 : 1);
+			const sender = received && isRecent(received) ? hosts.find(({host}) => host === received.report.host) : undefined;
+			return sender ? [sender] : hosts.slice(0, RECEIVERS_PER_SILENT_DOMAIN);
+		});
 	}
 
-	/** A new host needs the demand at the other hosts to compute its share of the limits, so it is sent a report at once. */
-	function sendReportToNewHost(): void {
-		const now = clock.readNow();
-		if (now >= lastExtraReportAt + MIN_NEW_HOST_REPORT_INTERVAL_MS) {
-			lastExtraReportAt = now;
-			void sendReport();
-		}
+	/** Reads the usage of the other hosts of the domain. */
+	function readPeerUsage(): DomainUsage {
+		const digest = peers.readDigest();
+		return digest ? subtractUsage(digest.usage, lastOwnUsage) : sumUsage(peers.readReports().map(({report}) => report));
 	}
 
+	const databaseUsage = createDatabaseUsageCache(clock, () => [readPeerUsage(), ...[...domainReports.values()].filter(isRecent).map(({report}) => report)]);
+
 	function readTeam(team: string): TeamUsage {
-		const peers = messages.readPeers();
+		const registered = messages.readPeers();
 		const known = [...domainReports.values()].map(({report}) => report);
-		const peerReports = readRecentPeerReports();
-		const peerCount = peers.filter(({domain}) => domain === identity.domain).length;
-		const liveDomainHosts = peerReports.length + 1;
-		const unreportedDomains = new Set(peers.map(({domain}) => domain).filter(domain => domain !== identity.domain && !domainReports.has(domain)));
+		const peerCount = registered.filter(({domain}) => domain === identity.domain).length;
+		const liveDomainHosts = countLivePeers(peers) + 1;
+		const unreportedDomains = new Set(registered.map(({domain}) => domain).filter(domain => domain !== identity.domain && !domainReports.has(domain)));
+		const digest = peers.readDigest();
 		return {
 			otherDomains: {
-				demandPerSecond: countDemand(known, team), heard: known.length, unheard: unreportedDomains.size, coveredFraction: liveDomainHosts / Math.max(liveDomainHosts, peerCount + 1),
+				demandPerSecond: countTeamDemand(known, team), heard: known.length, unheard: unreportedDomains.size, coveredFraction: liveDomainHosts / Math.max(liveDomainHosts, peerCount + 1),
 			},
-			domainPeersPerSecond: countDemand(peerReports, team),
+			domainPeersPerSecond: digest
+				? Math.max(0, countTeamDemand([digest.usage], team) - countTeamDemand([lastOwnUsage], team))
+				: countTeamDemand(peers.readReports().map(({report}) => report), team),
 			liveDomainHosts,
 		};
 	}
 
-	/** Counts remote usage of a database; index 0 is its statements in flight, 1 its open connections. */
-	function countRemote(database: string, index: 0 | 1): number {
-		return countDatabaseUsage([...readRecentPeerReports(), ...[...domainReports.values()].filter(isRecent).map(({report}) => report)], database, index);
-	}
-
-	void runPeriodically(clock, REPORT_INTERVAL_MS, async () => sendReport(), signal);
+	void runPeriodically(clock, REPORT_INTERVAL_MS, async () => {
+		sendReport();
+		removeExpired();
+	}, signal);
 	// A host learns its peers when it is registered, and then reports at once so that they know its new incarnation.
-	const stopListening = services.blackboard.registerListener(({registeredAt}) => registeredAt, () => {
-		void sendReport();
+	const stopListening = services.blackboard.registerListener(({registeredAt}) => registeredAt, sendReport);
+	const stopListeningToSuspensions = registerSuspensionListener(services.blackboard, () => {
+		sentAt.clear();
 	});
-	signal.addEventListener('abort', stopListening, {once: true});
+	signal.addEventListener('abort', () => {
+		stopListening();
+		stopListeningToSuspensions();
+		stopDigestTimer();
+	}, {once: true});
 	return {
 		applyReport,
+		applyDigest,
+		applyIntroduced(hosts) {
+			peers.insertContacts(hosts);
+			if (!peers.readDigest()) {
+				sendReport();
+			}
+		},
+		findLeaderOf(domain) {
+			const received = domainReports.get(domain);
+			if (domain === identity.domain) {
+				return peers.findLeader();
+			}
+
+			return received && isRecent(received) ? received.report : undefined;
+		},
 		readTeam,
 		sendDeparture() {
-			void sendReport(true);
+			messages.sendUsage(createReport(true), peers.readContacts());
 		},
-		findDomainLeader: findLeader,
-		readReceivedReports: () => [...domainPeerReports.values()].filter(isRecent),
+		findDomainLeader: peers.findLeader,
+		readReceivedReports: peers.readReports,
 		findSentAt: registered => registered.incarnation === identity.incarnation ? sentAt.get(registered.sequence) : undefined,
-		isVerifiedElsewhere: () => [...domainPeerReports.values(), ...domainReports.values()].some(received => isRecent(received) && received.report.isVerified),
-		countRemoteStatements: database => countRemote(database, 0),
-		countRemoteConnections: database => countRemote(database, 1),
+		isVerifiedElsewhere: () => readPeerUsage().isVerified || [...domainReports.values()].some(received => isRecent(received) && received.report.isVerified),
+		countRemoteStatements: database => databaseUsage.read(database).statements,
+		countRemoteConnections: database => databaseUsage.read(database).connections,
 	};
 }
 
-function countDemand(reports: readonly UsageReport[], team: string): number {
-	return reports.reduce((sum, {teams}) => sum + (teams[team] ?? 0), 0);
-}
-
-/** Sums the usage of a database; index 0 is its statements in flight, 1 its open connections. */
-function countDatabaseUsage(reports: readonly UsageReport[], database: string, index: 0 | 1): number {
-	return reports.reduce((sum, {databases}) => sum + (databases[database]?.[index] ?? 0), 0);
+/** Counts the live domain peers: those that the leader names, or those that report to this host. */
+function countLivePeers(peers: DomainPeers): number {
+	const digest = peers.readDigest();
+	return digest ? digest.members.length - 1 : peers.readReports().length;
 }
 
-/** Sums the reports of a domain's hosts into the report of the domain. */
-export function computeDomainReport(own: UsageReport, domainPeers: readonly UsageReport[]): UsageReport {
-	const all = [own, ...domainPeers];
-	const teams = new Set(all.flatMap(report => Object.keys(report.teams)));
-	const databases = new Set(all.flatMap(report => Object.keys(report.databases)));
+/** Subtracts the usage that this host has reported from that of its domain. */
+function subtractUsage(usage: DomainUsage, own: HostUsage): DomainUsage {
 	return {
-		...own,
-		isOfDomain: true,
-		isVerified: all.some(({isVerified}) => isVerified),
-		teams: Object.fromEntries([...teams].map(team => [team, Math.round(countDemand(all, team) * 10) / 10])),
-		databases: Object.fromEntries([...databases].map(database => [database, [countDatabaseUsage(all, database, 0), countDatabaseUsage(all, database, 1)]])),
+		isVerified: usage.isVerified,
+		teams: usage.teams,
+		databases: Object.fromEntries(Object.entries(usage.databases).map(([database, [statements, connections]]) => {
+			const [ownStatements, ownConnections] = own.databases[database] ?? [0, 0];
+			return [database, [Math.max(0, statements - ownStatements), Math.max(0, connections - ownConnections)]];
+		})),
 	};
 }
--- a/packages/heatherpond-fleet/src/usage-report.ts
+++ b/packages/heatherpond-fleet/src/usage-report.ts
@@ -8,6 +8,9 @@
 	/** Increases with each report of the same incarnation. */
 	sequence: z.number(),
 	domain: z.string(),
+	/** Address at which the sender receives datagrams. */
+	address: z.string(),
+	port: z.number(),
 	/** Whether the report is the sum over the whole domain. */
 	isOfDomain: z.boolean(),
 	/** Whether the host has shut down, and this is its last report. */
@@ -22,5 +25,34 @@
 	databases: z.record(z.string(), z.tuple([z.number(), z.number()])),
 });
 
+/** A live host of a failure domain, as its leader knows it. */
+export const domainMemberSchema = z.object({
+	host: z.string(),
+	incarnation: z.string(),
+	address: z.string(),
+	port: z.number(),
+	/** Uptime of the host in milliseconds. */
+	runningMs: z.number(),
+});
+
+/** A live host of a failure domain. */
+export type DomainMember = z.infer<typeof domainMemberSchema>;
+
+/** Usage of all hosts of a failure domain together. */
+export const domainUsageSchema = z.pick(usageReportSchema, {isVerified: true, teams: true, databases: true});
+
+/** Usage of a failure domain. */
+export type DomainUsage = z.infer<typeof domainUsageSchema>;
+
+/** Message of a domain leader to the hosts of its failure domain: its own report, the usage of the domain and its live hosts. */
+export const domainDigestSchema = z.object({
+	own: usageReportSchema,
+	usage: domainUsageSchema,
+	members: z.array(domainMemberSchema),
+});
+
+/** Digest of a failure domain. */
+export type DomainDigest = z.infer<typeof domainDigestSchema>;
+
 /** A usage report. */
 export type UsageReport = z.infer<typeof usageReportSchema>;
