Move tokens of a rate limit between failure domains before an operation is refused

Cause: a rate of 5 a second over six domains is less than one operation a second in each. Change: a leader with an empty bucket asks the other leaders, two at a time, those with the least demand first, for the missing part of a token; the giver deducts it. A leader may take 150 ms to answer, and one that has not answered is not asked again for 0.4 s.

--- a/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
+++ b/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
@@ -3,7 +3,7 @@
 import {createFakeClock, type FakeClock} from 'heatherpond-core';
 import {createUpstreamError} from 'heatherpond-session';
 import {
-	createMemoryStore, startFleetHost, type DatabaseControlPort, type DatabaseStatus, type FleetHost, type MemoryStore, type Upstream,
+	createMemoryStore, startFleetHost, type DatabaseControlPort, type DatabaseStatus, type FleetHost, type MemoryStore, type TeamLimit, type Upstream,
 } from '../../index.js';
 import {createMemoryLinks} from './memory-links.js';
 
@@ -75,10 +75,12 @@
 export type TestFleetOptions = {
 	/** Names of the hosts that are seeds of all hosts. */
 	readonly seeds?: readonly string[];
+	/** Rate limit of the team. */
+	readonly limit?: TeamLimit;
 };
 
 /** Creates a fleet of hosts and a group of three databases, the first of which is primary. */
-export function createTestFleet(hostNames: readonly string[], {seeds = []}: TestFleetOptions = {}): TestFleet {
+export function createTestFleet(hostNames: readonly string[], {seeds = [], limit = TEAM_LIMIT}: TestFleetOptions = {}): TestFleet {
 	const clock = createFakeClock(1000);
 	const store = createMemoryStore({clock, latencyMs: STORE_LATENCY_MS});
 	const databases = new Map(['db-1', 'db-2', 'db-3'].map((id, index) => [id, createDatabase(id, index)] as const));
@@ -203,7 +205,7 @@
 			minPromotionLeaseMs: 0,
 			contracts: {
 				table: CONTRACTS_TABLE, key: 'config', parse: text => ({
-					version: Number(text), routes: new Map(), groups: new Map(), teams: new Map([[TEAM, {team: TEAM, ...TEAM_LIMIT}]]), teamsByKey: new Map(), idleTransactionMs: 1000,
+					version: Number(text), routes: new Map(), groups: new Map(), teams: new Map([[TEAM, {team: TEAM, ...limit}]]), teamsByKey: new Map(), idleTransactionMs: 1000,
 				}),
 			},
 			registrations: {table: REGISTRATIONS_TABLE, parse: ({value}) => value === undefined ? undefined : JSON.parse(value) as Upstream},
--- a/packages/heatherpond-fleet/src/__tests__/unit/team-limits.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/team-limits.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, test} from '@jest/globals';
 import {createBlackboard, createFakeClock, type FakeClock} from 'heatherpond-core';
 import {
-	createTeamLimits, EMPTY_FLEET_STATE, sumUsage, type Contracts, type DomainUsage, type FleetState, type Grant, type HostRecord, type TeamLimits, type TeamUsage,
+	createTeamLimits, EMPTY_FLEET_STATE, computeTotalUsage, type Contracts, type DomainUsage, type FleetState, type Grant, type HostRecord, type TeamLimits, type TeamUsage,
 } from '../../index.js';
 import {advance} from '../support/steps.js';
 
@@ -30,6 +30,8 @@
 				fixture.asked++;
 				return fixture.grant;
 			},
+			readOtherLeaders: () => [],
+			requestTransfer: async () => 0,
 			writeEvent: () => undefined,
 		}),
 	};
@@ -95,7 +97,7 @@
 describe('the usage report of a domain', () => {
 	test('is the sum of the reports of its hosts', () => {
 		const usage = {isVerified: false, teams: {a: 1.5, b: 2}, databases: {x: [1, 2]}} satisfies DomainUsage;
-		expect(sumUsage([usage, {isVerified: true, teams: {a: 1}, databases: {x: [2, 3], y: [0, 1]}}])).toEqual({
+		expect(computeTotalUsage([usage, {isVerified: true, teams: {a: 1}, databases: {x: [2, 3], y: [0, 1]}}])).toEqual({
 			isVerified: true, teams: {a: 2.5, b: 2}, databases: {x: [3, 5], y: [0, 1]},
 		});
 	});
--- a/packages/heatherpond-fleet/src/datagram-parts.ts
+++ b/packages/heatherpond-fleet/src/datagram-parts.ts
@@ -72,7 +72,7 @@
 			}
 
 			sequence++;
-			const parts = splitText(text);
+			const parts = createParts(text);
 			parts.forEach((part, index) => {
 				port.send(`${PART_MARK}${sender}-${sequence} ${index} ${parts.length}\n${part}`, address, targetPort);
 			});
@@ -89,14 +89,14 @@
 }
 
 /** Splits a text, but never inside a surrogate pair, whose halves cannot be encoded on their own. */
-function splitText(text: string): readonly string[] {
+function createParts(text: string): readonly string[] {
 	if (text.length <= MAX_DATAGRAM_CHARACTERS) {
 		return [text];
 	}
 
 	const isPairSplit = /[\uD800-\uDBFF]/v.test(text.charAt(MAX_DATAGRAM_CHARACTERS - 1));
 	const end = isPairSplit ? MAX_DATAGRAM_CHARACTERS - 1 : MAX_DATAGRAM_CHARACTERS;
-	return [text.slice(0, end), ...splitText(text.slice(end))];
+	return [text.slice(0, end), ...createParts(text.slice(end))];
 }
 
 type Part = {readonly id: string; readonly index: number; readonly count: number; readonly text: string};
--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -127,7 +127,8 @@
 	const positions = createPositionTracker();
 	const suspicion = createPrimaryFailureDetector(services, signal);
 	const limits = createTeamLimits({
-		clock, blackboard, writeEvent, requestGrant: messages.requestGrant, findDomainLeader,
+		clock, blackboard, writeEvent, requestGrant: messages.requestGrant, requestTransfer: messages.requestTransfer, findDomainLeader,
+		readOtherLeaders: team => usage.exchange!.readOtherLeaders(team),
 		readUsage: team => usage.exchange!.readTeam(team),
 	});
 	const ownRecord: HostRecord = {...identity, refreshedAt: 0};
--- a/packages/heatherpond-fleet/src/fleet-message-handlers.ts
+++ b/packages/heatherpond-fleet/src/fleet-message-handlers.ts
@@ -11,7 +11,7 @@
 /** Parts of the host that handle messages. */
 export type MessageHandlerOptions = {
 	readonly host: HostContext;
-	readonly limits: Pick<TeamLimits, 'decideGrant'>;
+	readonly limits: Pick<TeamLimits, 'decideGrant' | 'decideTransfer'>;
 	readonly registration: HostRegistration;
 	readonly exchange: Pick<UsageExchange, 'applyReport' | 'applyDigest' | 'applyIntroduced'>;
 	readonly discovery: Pick<HostDiscovery, 'handleIntroduction' | 'refresh'>;
@@ -51,5 +51,6 @@
 			return cache.readChanges(table, after, clock.readNow());
 		},
 		decideGrant: limits.decideGrant,
+		decideTransfer: limits.decideTransfer,
 	};
 }
--- a/packages/heatherpond-fleet/src/host-messages.ts
+++ b/packages/heatherpond-fleet/src/host-messages.ts
@@ -11,7 +11,7 @@
 import type {Versioned} from './fleet-state.js';
 import {REGISTRATION_EXPIRY_MS} from './promotion-decisions.js';
 import type {TablePage} from './store-port.js';
-import type {RequestGrant, Grant} from './team-limits.js';
+import type {RequestGrant, Grant, TeamLimitsOptions} from './team-limits.js';
 import {
 	domainDigestSchema, usageReportSchema, type DomainDigest, type UsageReport,
 } from './usage-report.js';
@@ -70,6 +70,10 @@
 	z.object({
 		kind: z.literal('grant-question'), id: z.string(), team: z.string(), wanted: z.number(), address: z.string(), port: z.number(),
 	}),
+	z.object({
+		kind: z.literal('transfer-question'), id: z.string(), team: z.string(), wanted: z.number(), address: z.string(), port: z.number(),
+	}),
+	z.object({kind: z.literal('transfer'), id: z.string(), given: z.number()}),
 	z.object({
 		kind: z.literal('grant'), id: z.string(), granted: z.number(), retryAfterMs: z.number(),
 	}),
@@ -96,7 +100,9 @@
 	/** Reads the changes of a table since a version for another host; nothing when this host does not know them. */
 	readonly readTableChanges: (table: string, after: number) => TablePage | undefined;
 	/** Decides how many operations of a team another host of the failure domain may admit. */
-	readonly decideGrant: (team: string, wanted: number) => Grant;
+	readonly decideGrant: (team: string, wanted: number) => Promise<Grant>;
+	/** Decides how many tokens of a team the leader of another domain is given. */
+	readonly decideTransfer: (team: string, wanted: number) => number;
 };
 
 /** Sends messages to peers: the other hosts whose registration may be valid, so that they may rely on leases. */
@@ -116,6 +122,8 @@
 	readonly requestChanges: RequestChanges;
 	/** Requests operations of a team from one host; resolves to nothing when it does not respond in time. */
 	readonly requestGrant: RequestGrant;
+	/** Requests tokens of a team from the leader of another domain; resolves to how many it gave. */
+	readonly requestTransfer: TeamLimitsOptions['requestTransfer'];
 	/** Reads the records of the peers. */
 	readonly readPeers: () => readonly HostRecord[];
 	readonly registerHandlers: (handlers: HostMessageHandlers) => void;
@@ -230,13 +238,22 @@
 			}), deadline);
 			return response?.kind === 'grant' ? response : undefined;
 		},
+		async requestTransfer(receiver, {team, wanted}, deadline) {
+			const response = await sendRequest(receiver, id => ({
+				kind: 'transfer-question', id, team, wanted, address: ownAddress, port: ownPort,
+			}), deadline);
+			return response?.kind === 'transfer' ? response.given : 0;
+		},
 		registerHandlers(handlers) {
 			datagrams.registerListener(text => {
 				const message = parseRecord(messageSchema, text);
 				switch (message?.kind) {
 					case 'question':
+					case 'transfer-question':
 					case 'grant-question': {
-						datagrams.send(JSON.stringify(createResponse(message, handlers)), message.address, message.port);
+						void createResponse(message, handlers).then(response => {
+							datagrams.send(JSON.stringify(response), message.address, message.port);
+						});
 						break;
 					}
 
@@ -247,6 +264,7 @@
 					}
 
 					case 'answer':
+					case 'transfer':
 					case 'grant': {
 						handleResponse(message.id, message);
 						break;
@@ -262,13 +280,17 @@
 	};
 }
 
-type RequestMessage = Extract<HostMessage, {readonly kind: 'question' | 'grant-question'}>;
-type ResponseMessage = Extract<HostMessage, {readonly kind: 'answer' | 'grant'}>;
+type RequestMessage = Extract<HostMessage, {readonly kind: 'question' | 'grant-question' | 'transfer-question'}>;
+type ResponseMessage = Extract<HostMessage, {readonly kind: 'answer' | 'grant' | 'transfer'}>;
 type NotificationMessage = Exclude<HostMessage, RequestMessage | ResponseMessage | {readonly kind: 'introduction'}>;
 
-function createResponse(request: RequestMessage, handlers: HostMessageHandlers): ResponseMessage {
+async function createResponse(request: RequestMessage, handlers: HostMessageHandlers): Promise<ResponseMessage> {
 	if (request.kind === 'grant-question') {
-		return {kind: 'grant', id: request.id, ...handlers.decideGrant(request.team, request.wanted)};
+		return {kind: 'grant', id: request.id, ...await handlers.decideGrant(request.team, request.wanted)};
+	}
+
+	if (request.kind === 'transfer-question') {
+		return {kind: 'transfer', id: request.id, given: handlers.decideTransfer(request.team, request.wanted)};
 	}
 
 	const page = handlers.readTableChanges(request.table, request.after);
--- a/packages/heatherpond-fleet/src/remote-usage.ts
+++ b/packages/heatherpond-fleet/src/remote-usage.ts
@@ -29,7 +29,7 @@
 		read(database) {
 			const now = clock.readNow();
 			if (now >= expiresAt) {
-				sums = sumDatabases(readReports());
+				sums = computeDatabaseTotals(readReports());
 				expiresAt = now + CACHE_MS;
 			}
 
@@ -47,7 +47,7 @@
 }
 
 /** Sums the usage of hosts or failure domains. */
-export function sumUsage(reports: readonly DomainUsage[]): DomainUsage {
+export function computeTotalUsage(reports: readonly DomainUsage[]): DomainUsage {
 	const teams = new Map<string, number>();
 	reports.flatMap(report => Object.entries(report.teams)).forEach(([team, demand]) => {
 		teams.set(team, (teams.get(team) ?? 0) + demand);
@@ -55,11 +55,11 @@
 	return {
 		isVerified: reports.some(({isVerified}) => isVerified),
 		teams: Object.fromEntries([...teams].map(([team, demand]) => [team, Math.round(demand * 10) / 10])),
-		databases: Object.fromEntries([...sumDatabases(reports)].map(([database, {statements, connections}]) => [database, [statements, connections]])),
+		databases: Object.fromEntries([...computeDatabaseTotals(reports)].map(([database, {statements, connections}]) => [database, [statements, connections]])),
 	};
 }
 
-function sumDatabases(reports: ReadonlyArray<Pick<DomainUsage, 'databases'>>): ReadonlyMap<string, DatabaseUsage> {
+function computeDatabaseTotals(reports: ReadonlyArray<Pick<DomainUsage, 'databases'>>): ReadonlyMap<string, DatabaseUsage> {
 	const sums = new Map<string, DatabaseUsage>();
 	reports.flatMap(({databases}) => Object.entries(databases)).forEach(([database, [statements, connections]]) => {
 		const sum = sums.get(database) ?? NO_USAGE;
--- a/packages/heatherpond-fleet/src/team-limits.ts
+++ b/packages/heatherpond-fleet/src/team-limits.ts
@@ -2,6 +2,11 @@
  * Admission control: enforces the rate limits of teams. In each failure domain the leader, the host that also reads the
  * store, keeps the token buckets of the domain; the other hosts request a few operations from it at a time. While the
  * leader does not respond, each host falls back to a bucket of its own, filled with an equal part of the domain's share.
+ *
+ * The load in mind is many teams with thin rates over many hosts and domains: a domain's share of such a rate is less than
+ * one operation a second, so it runs out while others have tokens left. A leader with an empty bucket therefore asks the
+ * other leaders for tokens before it refuses. The giver deducts what it gives, so a lost message destroys tokens and never
+ * creates any.
  */
 import type {Clock, Deadline, Instant} from 'heatherpond-core';
 import type {AdmissionPort, WriteEvent} from 'heatherpond-session';
@@ -9,7 +14,7 @@
 import type {HostContact} from './host-messages.js';
 import {recordOperation, readDemand, type DemandRate} from './demand-rate.js';
 import {
-	recordReportedDemand, createTokenBucket, takeTokens, readLimitShare, type OtherDomains, type TeamLimit, type TokenBucket,
+	applyRefill, recordReportedDemand, createTokenBucket, insertTokens, takeTokens, takeTokensForTransfer, readLimitShare, type OtherDomains, type TeamLimit, type TokenBucket,
 } from './token-bucket.js';
 
 /** Response of the domain leader: operations granted or, when there are none, the delay before a retry. */
@@ -31,7 +36,9 @@
 /** Rate limits of all teams on one host. */
 export type TeamLimits = AdmissionPort & {
 	/** Handles the request of another host of the failure domain. */
-	readonly decideGrant: (team: string, wanted: number) => Grant;
+	readonly decideGrant: (team: string, wanted: number) => Promise<Grant>;
+	/** Handles the request of another domain's leader for tokens; returns how many it is given. */
+	readonly decideTransfer: (team: string, wanted: number) => number;
 	/** Operations per second that each team requests from this host, for the report to other hosts. Records them in the buckets. */
 	readonly readUsage: () => Record<string, number>;
 };
@@ -44,13 +51,25 @@
 	/** Finds the domain leader; nothing when this host is the leader. */
 	readonly findDomainLeader: () => HostContact | undefined;
 	readonly requestGrant: RequestGrant;
+	/** Reads the leaders of the other domains, those with the least demand of the team first. */
+	readonly readOtherLeaders: (team: string) => readonly HostContact[];
+	/** Requests tokens from the leader of another domain; resolves to how many it gave, none if it does not respond by the deadline. */
+	readonly requestTransfer: (host: HostContact, request: {readonly team: string; readonly wanted: number}, deadline: Deadline) => Promise<number>;
 	readonly writeEvent: WriteEvent;
 };
 
 /** Demand, in operations per second, up to which a team is left out of reports. */
 const MIN_REPORTED_PER_SECOND = 0.05;
-/** Time within which the domain leader must respond, in milliseconds. */
-const GRANT_TIMEOUT_MS = 50;
+/** Time within which the domain leader must respond, in milliseconds; it may have to ask the other domains first. */
+const GRANT_TIMEOUT_MS = 150;
+/** Time for which a domain leader that has not responded is not asked again, in milliseconds. */
+const LEADER_BACKOFF_MS = 400;
+/** Time within which the leaders of other domains must respond, in milliseconds. */
+const TRANSFER_TIMEOUT_MS = 120;
+/** Number of domains that are asked for tokens at once; what they give beyond the missing part is lost when the bucket is full. */
+const DOMAINS_ASKED_AT_ONCE = 2;
+/** Time for which the other domains are not asked again after none of them had tokens left, in milliseconds. */
+const TRANSFER_BACKOFF_MS = 300;
 /** Size of one request to the leader: the demand of this many seconds, and at most this many operations. */
 const REQUESTED_DEMAND_S = 0.25;
 const MAX_REQUESTED = 8;
@@ -68,6 +87,11 @@
 	const ownBuckets = new Map<string, TokenBucket>();
 	const demands = new Map<string, DemandRate>();
 	const unusedGrants = new Map<string, UnusedGrant>();
+	/** Requests for tokens of other domains in progress, by team. */
+	const transfers = new Map<string, Promise<void>>();
+	/** By team: until when the other domains are not asked, because none of them had tokens left. */
+	const transferBackoffUntil = new Map<string, Instant>();
+	let leaderBackoffUntil: Instant = Number.NEGATIVE_INFINITY;
 
 	function findLimit(team: string): TeamLimit | undefined {
 		return blackboard.read().contracts?.teams.get(team);
@@ -101,11 +125,87 @@
 		return {granted, retryAfterMs};
 	}
 
+	/** Takes operations from the bucket of the domain, after a transfer from other domains when it is empty. */
+	async function takeFromDomain(team: string, wanted: number): Promise<Grant> {
+		const limit = findLimit(team);
+		if (limit && !hasTokens(team, limit)) {
+			await refillFromOtherDomains(team, limit);
+		}
+
+		return takeFromBucket(domainBuckets, team, {wanted, part: 1});
+	}
+
+	function findDomainBucket(team: string, limit: TeamLimit): TokenBucket {
+		const {otherDomains} = options.readUsage(team);
+		const now = clock.readNow();
+		const known = domainBuckets.get(team);
+		return known ? applyRefill(known, limit, otherDomains, now) : recordReportedDemand(createTokenBucket(limit, otherDomains, now), readDomainDemand(team, limit));
+	}
+
+	function hasTokens(team: string, limit: TeamLimit): boolean {
+		const bucket = findDomainBucket(team, limit);
+		domainBuckets.set(team, bucket);
+		return bucket.tokens >= 1;
+	}
+
+	/** Operations that find the bucket empty at the same time share one request. */
+	async function refillFromOtherDomains(team: string, limit: TeamLimit): Promise<void> {
+		const running = transfers.get(team);
+		if (running) {
+			await running;
+			return;
+		}
+
+		if (clock.readNow() < (transferBackoffUntil.get(team) ?? Number.NEGATIVE_INFINITY)) {
+			return;
+		}
+
+		const transfer = requestTransfers(team, limit).finally(() => {
+			transfers.delete(team);
+		});
+		transfers.set(team, transfer);
+		await transfer;
+	}
+
+	/** Requests the missing tokens from two domains at a time, those with the least demand first, until one operation can be admitted. */
+	async function requestTransfers(team: string, limit: TeamLimit): Promise<void> {
+		const deadline = clock.readNow() + TRANSFER_TIMEOUT_MS;
+		const leaders = options.readOtherLeaders(team);
+		let next = 0;
+		while (next < leaders.length && clock.readNow() < deadline && !hasTokens(team, limit)) {
+			const missing = 1 - findDomainBucket(team, limit).tokens;
+			const given = await Promise.all(leaders.slice(next, next + DOMAINS_ASKED_AT_ONCE).map(async leader => options.requestTransfer(leader, {team, wanted: missing}, deadline)));
+			const tokens = given.reduce((sum, count) => sum + count, 0);
+			domainBuckets.set(team, insertTokens(findDomainBucket(team, limit), tokens));
+			next += DOMAINS_ASKED_AT_ONCE;
+		}
+
+		if (!hasTokens(team, limit)) {
+			transferBackoffUntil.set(team, clock.readNow() + TRANSFER_BACKOFF_MS);
+		}
+	}
+
+	function decideTransfer(team: string, wanted: number): number {
+		const limit = findLimit(team);
+		// A host that is no longer the leader must not create a bucket: its tokens would come on top of the leader's.
+		if (!limit || options.findDomainLeader() !== undefined) {
+			return 0;
+		}
+
+		const {bucket, given} = takeTokensForTransfer(findDomainBucket(team, limit), limit, options.readUsage(team).otherDomains, {wanted, now: clock.readNow()});
+		domainBuckets.set(team, bucket);
+		return given;
+	}
+
 	async function requestFromLeader(leader: HostContact, team: string, limit: TeamLimit): Promise<number> {
 		const rate = readDemand(demands.get(team), limit, clock.readNow());
 		const wanted = Math.min(MAX_REQUESTED, Math.max(1, Math.ceil(rate * REQUESTED_DEMAND_S)));
-		const grant = await options.requestGrant(leader, {team, wanted}, clock.readNow() + GRANT_TIMEOUT_MS)
-			?? takeFromBucket(ownBuckets, team, {wanted: 1, part: 1 / options.readUsage(team).liveDomainHosts});
+		const response = clock.readNow() < leaderBackoffUntil ? undefined : await options.requestGrant(leader, {team, wanted}, clock.readNow() + GRANT_TIMEOUT_MS);
+		if (!response && clock.readNow() >= leaderBackoffUntil) {
+			leaderBackoffUntil = clock.readNow() + LEADER_BACKOFF_MS;
+		}
+
+		const grant = response ?? takeFromBucket(ownBuckets, team, {wanted: 1, part: 1 / options.readUsage(team).liveDomainHosts});
 		if (grant.granted === 0) {
 			return grant.retryAfterMs;
 		}
@@ -115,6 +215,11 @@
 		return 0;
 	}
 
+	async function requestFromOwnDomain(team: string): Promise<number> {
+		const {retryAfterMs} = await takeFromDomain(team, 1);
+		return retryAfterMs;
+	}
+
 	return {
 		async admit(team) {
 			const limit = findLimit(team);
@@ -131,9 +236,10 @@
 			}
 
 			const leader = options.findDomainLeader();
-			return leader ? requestFromLeader(leader, team, limit) : takeFromBucket(domainBuckets, team, {wanted: 1, part: 1}).retryAfterMs;
+			return leader ? requestFromLeader(leader, team, limit) : requestFromOwnDomain(team);
 		},
-		decideGrant: (team, wanted) => takeFromBucket(domainBuckets, team, {wanted, part: 1}),
+		decideGrant: takeFromDomain,
+		decideTransfer,
 		readUsage() {
 			[domainBuckets, ownBuckets].forEach(buckets => {
 				recordReportedDemands(buckets);
--- a/packages/heatherpond-fleet/src/token-bucket.ts
+++ b/packages/heatherpond-fleet/src/token-bucket.ts
@@ -93,6 +93,21 @@
 	readonly retryAfterMs: number;
 };
 
+/**
+ * Takes up to `wanted` tokens for another domain, which has an operation waiting. Parts of tokens are given too, because every
+ * domain may have less than one left while together they have several.
+ */
+export function takeTokensForTransfer(previous: TokenBucket, limit: TeamLimit, otherDomains: OtherDomains, {wanted, now}: {readonly wanted: number; readonly now: Instant}): {readonly bucket: TokenBucket; readonly given: number} {
+	const bucket = applyRefill(previous, limit, otherDomains, now);
+	const given = Math.max(0, Math.min(wanted, bucket.tokens));
+	return {bucket: {...bucket, tokens: bucket.tokens - given}, given};
+}
+
+/** Adds tokens that other domains have given; what exceeds the capacity of the bucket is lost at its next refill. */
+export function insertTokens(bucket: TokenBucket, tokens: number): TokenBucket {
+	return {...bucket, tokens: bucket.tokens + tokens};
+}
+
 /** Takes up to `wanted` tokens; when there is none, computes when to retry. */
 export function takeTokens(previous: TokenBucket, limit: TeamLimit, otherDomains: OtherDomains, {wanted, now}: {readonly wanted: number; readonly now: Instant}): TakeResult {
 	const bucket = applyRefill(previous, limit, otherDomains, now);
--- a/packages/heatherpond-fleet/src/usage-exchange.ts
+++ b/packages/heatherpond-fleet/src/usage-exchange.ts
@@ -11,7 +11,7 @@
 import type {FleetServices} from './fleet-services.js';
 import {registerSuspensionListener} from './fleet-state.js';
 import type {HostContact, HostMessages, RegisteredIncarnation} from './host-messages.js';
-import {countTeamDemand, createDatabaseUsageCache, sumUsage} from './remote-usage.js';
+import {countTeamDemand, createDatabaseUsageCache, computeTotalUsage} from './remote-usage.js';
 import type {TeamUsage} from './team-limits.js';
 import type {DomainDigest, DomainUsage, UsageReport} from './usage-report.js';
 
@@ -42,6 +42,8 @@
 	readonly applyIntroduced: (hosts: readonly HostContact[]) => void;
 	/** Finds the leader of a domain that has reported recently, or of the own domain; `undefined` when it is not known. */
 	readonly findLeaderOf: (domain: string) => HostContact | undefined;
+	/** Reads the leaders of the other domains that have reported recently, those with the least demand of a team first. */
+	readonly readOtherLeaders: (team: string) => readonly HostContact[];
 	/** Reads the demand of a team at the other hosts. */
 	readonly readTeam: (team: string) => TeamUsage;
 	/** Notifies the domain peers that this host has shut down. */
@@ -105,7 +107,7 @@
 	}
 
 	function createDigest(own: UsageReport): DomainDigest {
-		return {own, usage: sumUsage([own, ...peers.readReports().map(({report}) => report)]), members: [...peers.readMembers()]};
+		return {own, usage: computeTotalUsage([own, ...peers.readReports().map(({report}) => report)]), members: [...peers.readMembers()]};
 	}
 
 	function sendReport(): void {
@@ -148,13 +150,13 @@
 		if (report.hasLeft) {
 			peers.removeHost(report.host);
 		} else if (peers.applyReport(report)) {
-			introduceSelf(report);
+			notifyNewHost(report);
 			handleNewPeer();
 		}
 	}
 
 	/** Makes this host known to one that has just started: it needs the demand at the other hosts, and whom to follow. */
-	function introduceSelf(newHost: HostContact): void {
+	function notifyNewHost(newHost: HostContact): void {
 		if (!peers.findLeader() && !isDiscovering()) {
 			messages.sendDigest(createDigest(createReport()), [newHost]);
 		} else if (!peers.readDigest()) {
@@ -205,7 +207,7 @@
 	/** Reads the usage of the other hosts of the domain. */
 	function readPeerUsage(): DomainUsage {
 		const digest = peers.readDigest();
-		return digest ? subtractUsage(digest.usage, lastOwnUsage) : sumUsage(peers.readReports().map(({report}) => report));
+		return digest ? computeOthersUsage(digest.usage, lastOwnUsage) : computeTotalUsage(peers.readReports().map(({report}) => report));
 	}
 
 	const databaseUsage = createDatabaseUsageCache(clock, () => [readPeerUsage(), ...[...domainReports.values()].filter(isRecent).map(({report}) => report)]);
@@ -259,6 +261,10 @@
 
 			return received && isRecent(received) ? received.report : undefined;
 		},
+		readOtherLeaders: team => [...domainReports.values()]
+			.filter(isRecent)
+			.map(({report}) => report)
+			.toSorted((left, right) => countTeamDemand([left], team) - countTeamDemand([right], team)),
 		readTeam,
 		sendDeparture() {
 			messages.sendUsage(createReport(true), peers.readContacts());
@@ -279,7 +285,7 @@
 }
 
 /** Subtracts the usage that this host has reported from that of its domain. */
-function subtractUsage(usage: DomainUsage, own: HostUsage): DomainUsage {
+function computeOthersUsage(usage: DomainUsage, own: HostUsage): DomainUsage {
 	return {
 		isVerified: usage.isVerified,
 		teams: usage.teams,
