Read the store through one domain leader, and through other domains while the store turns a domain away

Change: the leaders ask the leader of the first domain by name that is verified, and the store when it does not answer; when the store fails, the other leaders are asked. A host that has not answered is not asked for 1 s. Leaders poll every 0.8 s (1.5 s before), so that three levels keep a verification under 2.5 s. Tests: one reader for four domains; domains turned away stay verified through one that is served (both fail on the old code: every leader reads).

--- a/packages/heatherpond-fleet/src/__tests__/unit/domain-size.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/domain-size.test.ts
@@ -114,3 +114,36 @@
 		fleet.stop();
 	});
 });
+
+describe('failure domains that reach each other', () => {
+	const names = ['d1', 'd2', 'd3', 'd4'].flatMap(domain => [`${domain}/host-1`, `${domain}/host-2`]);
+
+	test('have the store read by the leader of the first one', async () => {
+		const fleet = createTestFleet(names);
+		await advance(fleet.clock, 8000);
+		const reads = new Map<string, number>();
+		fleet.store.setFaults(({caller, kind}) => {
+			if (kind === 'read') {
+				reads.set(caller, (reads.get(caller) ?? 0) + 1);
+			}
+
+			return undefined;
+		});
+		await advance(fleet.clock, 10_000);
+		// Three tables at the poll interval; the other leaders only read the list of hosts.
+		expect(reads.get('d1/host-1')).toBeLessThanOrEqual(45);
+		expect([...reads].filter(([name, count]) => name !== 'd1/host-1' && count > 1)).toEqual([]);
+		fleet.stop();
+	});
+
+	test.each(['silent', 'unavailable'] as const)('keep each other verified while a store that is %s turns three of them away', async fault => {
+		const fleet = createTestFleet(names);
+		await advance(fleet.clock, 8000);
+		fleet.store.setFaults(({caller}) => caller.startsWith('d3') ? undefined : fault);
+		await advance(fleet.clock, 6000);
+		const now = fleet.clock.readNow();
+		const ages = fleet.hosts.map(({host}) => now - host.blackboard.read().contractsVerifiedAt);
+		expect(Math.max(...ages)).toBeLessThan(4900);
+		fleet.stop();
+	});
+});
--- a/packages/heatherpond-fleet/src/domain-leader.ts
+++ b/packages/heatherpond-fleet/src/domain-leader.ts
@@ -1,18 +1,21 @@
 /**
- * Elects one host of each failure domain, the domain leader, to read the store; the other hosts of the domain request
- * changes from it. A wrong choice costs an additional call to the store but is always safe: a relayed page carries its age,
+ * Elects one host of each failure domain, the domain leader; the other hosts of the domain request changes of the store from
+ * it, and the leaders from the leader of the first domain by name, which reads the store. A wrong choice costs an additional call to the store but is always safe: a relayed page carries its age,
  * measured from before the leader sent its request to the store, and the receiver subtracts it from the time of its own
  * request.
  */
 import type {Clock, Deadline, Instant} from 'heatherpond-core';
 import type {HostContact} from './host-messages.js';
-import {createStoreError, type StorePort, type TablePage} from './store-port.js';
+import {createStoreError, StoreError, type StorePort, type TablePage} from './store-port.js';
 
 /** Response of another host to a request for changes: the changes, or that it does not know them; `silent` when it did not respond in time. */
 export type ChangesResponse = {readonly kind: 'page'; readonly page: TablePage} | {readonly kind: 'unknown'} | {readonly kind: 'silent'};
 
 /** Requests the changes of a table after a version from another host. */
-export type RequestChanges = (host: HostContact, request: {readonly table: string; readonly after: number}, deadline: Deadline) => Promise<ChangesResponse>;
+export type RequestChanges = (host: HostContact, request: ChangesRequest, deadline: Deadline) => Promise<ChangesResponse>;
+
+/** Request for the changes of a table after a version, or for the whole table after version 0. */
+export type ChangesRequest = {readonly table: string; readonly after: number};
 
 /** Dependencies of the domain store. */
 export type DomainStoreOptions = {
@@ -20,6 +23,10 @@
 	readonly clock: Clock;
 	/** Finds the domain leader; nothing when this host is the leader. */
 	readonly findDomainLeader: FindDomainLeader;
+	/** Failure domain of this host. */
+	readonly domain: string;
+	/** Reads the leaders of the other domains that have verified what they know recently, in the order of their domains. */
+	readonly readOtherLeaders: () => readonly HostContact[];
 	readonly requestChanges: RequestChanges;
 };
 
@@ -27,6 +34,8 @@
 const PEER_TIMEOUT_MS = 120;
 /** Milliseconds within which the domain leader must respond to a request for a whole table, which may be long. */
 const PEER_TABLE_TIMEOUT_MS = 400;
+/** Milliseconds for which a host that did not respond is not asked again. */
+const SILENT_HOST_BACKOFF_MS = 1000;
 /** Milliseconds after the start of a host for which it waits until its leader, which may have started at the same time, has read a table. */
 const LEADER_START_MS = 2500;
 
@@ -52,28 +61,71 @@
 		.at(0);
 }
 
-/** Creates a store port that reads tables and changes from the domain leader first, and from the store when the leader does not provide them. */
-export function createDomainStore({store, clock, findDomainLeader: findLeader, requestChanges}: DomainStoreOptions): StorePort {
+/**
+ * Creates a store port that asks other hosts before it calls the store: a host asks the leader of its domain, and the leaders
+ * ask one of them. When the store does not respond either, the leaders of other domains are asked, which may still reach it.
+ */
+export function createDomainStore({store, clock, domain: ownDomain, findDomainLeader: findLeader, readOtherLeaders, requestChanges}: DomainStoreOptions): StorePort {
 	const startedAt = clock.readNow();
+	/** By host: until when it is not asked, because it did not respond. */
+	const backoffUntil = new Map<string, Instant>();
 
-	/** Reads from the domain leader; resolves to nothing when the store has to be read instead. */
-	async function readFromLeader(table: string, after: number, timeoutMs: number): Promise<TablePage | undefined> {
-		const leader = findLeader();
-		const response = leader && await requestChanges(leader, {table, after}, clock.readNow() + timeoutMs);
-		if (response?.kind === 'unknown' && clock.readNow() < startedAt + LEADER_START_MS) {
+	async function readFromHost(host: HostContact, request: ChangesRequest): Promise<ChangesResponse> {
+		const response = await requestChanges(host, request, clock.readNow() + (request.after === 0 ? PEER_TABLE_TIMEOUT_MS : PEER_TIMEOUT_MS));
+		if (response.kind === 'silent') {
+			backoffUntil.set(host.host, clock.readNow() + SILENT_HOST_BACKOFF_MS);
+		}
+
+		return response;
+	}
+
+	/** Asks the hosts one after the other until one of them knows the changes. */
+	async function readFromHosts(hosts: readonly HostContact[], request: ChangesRequest): Promise<TablePage | undefined> {
+		const host = hosts.find(({host: name}) => clock.readNow() >= (backoffUntil.get(name) ?? Number.NEGATIVE_INFINITY));
+		if (!host) {
+			return undefined;
+		}
+
+		const response = await readFromHost(host, request);
+		if (response.kind === 'unknown' && host.host === findLeader()?.host && clock.readNow() < startedAt + LEADER_START_MS) {
 			throw createStoreError('domain leader has not read the table yet', 'unavailable');
 		}
 
-		return response?.kind === 'page' ? response.page : undefined;
+		return response.kind === 'page' ? response.page : readFromHosts(hosts.slice(hosts.indexOf(host) + 1), request);
+	}
+
+	/** Finds the hosts that are asked before the store. */
+	function findNearerHosts(): readonly HostContact[] {
+		const leader = findLeader();
+		const [first] = readOtherLeaders();
+		if (leader) {
+			return first ? [leader, first] : [leader];
+		}
+
+		return first && first.domain < ownDomain ? [first] : [];
+	}
+
+	async function read(request: ChangesRequest, readStore: () => Promise<TablePage>): Promise<TablePage> {
+		const page = await readFromHosts(findNearerHosts(), request);
+		if (page) {
+			return page;
+		}
+
+		try {
+			return await readStore();
+		} catch (error) {
+			const other = error instanceof StoreError && error.failure !== 'history_lost' ? await readFromHosts(readOtherLeaders(), request) : undefined;
+			if (other) {
+				return other;
+			}
+
+			throw error;
+		}
 	}
 
 	return {
 		...store,
-		async readTable(table, deadline) {
-			return await readFromLeader(table, 0, PEER_TABLE_TIMEOUT_MS) ?? store.readTable(table, deadline);
-		},
-		async readChanges(table, after, deadline) {
-			return await readFromLeader(table, after, PEER_TIMEOUT_MS) ?? store.readChanges(table, after, deadline);
-		},
+		readTable: async (table, deadline) => read({table, after: 0}, async () => store.readTable(table, deadline)),
+		readChanges: async (table, after, deadline) => read({table, after}, async () => store.readChanges(table, after, deadline)),
 	};
 }
--- a/packages/heatherpond-fleet/src/fleet-followers.ts
+++ b/packages/heatherpond-fleet/src/fleet-followers.ts
@@ -24,10 +24,10 @@
 };
 
 /**
- * Milliseconds between requests of the domain leader to the store. Together with the request timeout, the poll intervals
- * keep verifications recent enough for leases and for the revocation of keys.
+ * Milliseconds between requests of a domain leader, to the store or to the leader that reads it. Together with the request
+ * timeout, the poll intervals keep verifications recent enough for leases and for the revocation of keys.
  */
-const STORE_POLL_INTERVAL_MS = 1500;
+const LEADER_POLL_INTERVAL_MS = 800;
 /** Milliseconds between requests of other hosts to the domain leader. */
 const PEER_POLL_INTERVAL_MS = 800;
 /** Milliseconds between requests while a host does not know enough yet to accept clients. */
@@ -58,7 +58,7 @@
 }
 
 function readPollInterval({findDomainLeader}: HostContext): number {
-	return findDomainLeader() ? PEER_POLL_INTERVAL_MS : STORE_POLL_INTERVAL_MS;
+	return findDomainLeader() ? PEER_POLL_INTERVAL_MS : LEADER_POLL_INTERVAL_MS;
 }
 
 function readFleetPollInterval(host: HostContext): number {
--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -109,7 +109,8 @@
 		readHosts: messages.readPeers,
 	});
 	const domainStore = createDomainStore({
-		store: options.store, clock, findDomainLeader, requestChanges: messages.requestChanges,
+		store: options.store, clock, domain: identity.domain, findDomainLeader, requestChanges: messages.requestChanges,
+		readOtherLeaders: () => usage.exchange?.readVerifiedLeaders() ?? [],
 	});
 	const host: HostContext = {
 		...options, blackboard, followers: [], cache: createTableCache(), findDomainLeader, domainStore, waitUntilDiscovered: discovery.waitUntilDone,
--- a/packages/heatherpond-fleet/src/table-cache.ts
+++ b/packages/heatherpond-fleet/src/table-cache.ts
@@ -24,7 +24,7 @@
 };
 
 /** Maximum age in milliseconds at which cached rows are sent to domain peers. */
-const MAX_AGE_MS = 1700;
+const MAX_AGE_MS = 1900;
 /** Maximum total length of the row values in one response, which is sent in datagrams; larger changes are read from the store. */
 const MAX_RESPONSE_CHARACTERS = 60_000;
 
--- a/packages/heatherpond-fleet/src/team-limits.ts
+++ b/packages/heatherpond-fleet/src/team-limits.ts
@@ -129,7 +129,7 @@
 	async function takeFromDomain(team: string, wanted: number): Promise<Grant> {
 		const limit = findLimit(team);
 		if (limit && !hasTokens(team, limit)) {
-			await refillFromOtherDomains(team, limit);
+			await acquireFromOtherDomains(team, limit);
 		}
 
 		return takeFromBucket(domainBuckets, team, {wanted, part: 1});
@@ -149,7 +149,7 @@
 	}
 
 	/** Operations that find the bucket empty at the same time share one request. */
-	async function refillFromOtherDomains(team: string, limit: TeamLimit): Promise<void> {
+	async function acquireFromOtherDomains(team: string, limit: TeamLimit): Promise<void> {
 		const running = transfers.get(team);
 		if (running) {
 			await running;
@@ -160,7 +160,7 @@
 			return;
 		}
 
-		const transfer = requestTransfers(team, limit).finally(() => {
+		const transfer = acquireTransfers(team, limit).finally(() => {
 			transfers.delete(team);
 		});
 		transfers.set(team, transfer);
@@ -168,7 +168,7 @@
 	}
 
 	/** Requests the missing tokens from two domains at a time, those with the least demand first, until one operation can be admitted. */
-	async function requestTransfers(team: string, limit: TeamLimit): Promise<void> {
+	async function acquireTransfers(team: string, limit: TeamLimit): Promise<void> {
 		const deadline = clock.readNow() + TRANSFER_TIMEOUT_MS;
 		const leaders = options.readOtherLeaders(team);
 		let next = 0;
--- a/packages/heatherpond-fleet/src/usage-exchange.ts
+++ b/packages/heatherpond-fleet/src/usage-exchange.ts
@@ -44,6 +44,8 @@
 	readonly findLeaderOf: (domain: string) => HostContact | undefined;
 	/** Reads the leaders of the other domains that have reported recently, those with the least demand of a team first. */
 	readonly readOtherLeaders: (team: string) => readonly HostContact[];
+	/** Reads the leaders of the other domains whose recent report says that the contracts are verified there, in the order of their domains. */
+	readonly readVerifiedLeaders: () => readonly HostContact[];
 	/** Reads the demand of a team at the other hosts. */
 	readonly readTeam: (team: string) => TeamUsage;
 	/** Notifies the domain peers that this host has shut down. */
@@ -265,6 +267,10 @@
 			.filter(isRecent)
 			.map(({report}) => report)
 			.toSorted((left, right) => countTeamDemand([left], team) - countTeamDemand([right], team)),
+		readVerifiedLeaders: () => [...domainReports.values()]
+			.filter(received => isRecent(received) && received.report.isVerified)
+			.map(({report}) => report)
+			.toSorted((left, right) => left.domain < right.domain ? -1 : 1),
 		readTeam,
 		sendDeparture() {
 			messages.sendUsage(createReport(true), peers.readContacts());
