Confirm promotions to the host that carries them out, and suspect primaries to the domain leaders

Cause: each host sent its confirmation of a promotion to every other host and wrote a row that was never removed: at 195 hosts 38,000 datagrams and 195 writes a promotion, and a table that every start reads. A suspicion went to every host and into the store at once. Change: the promotion names its holder (host and incarnation); hosts confirm to it, up to three times in 0.3 s, and write a row only without an acknowledgement; a host or incarnation that takes over gets the confirmations anew. Suspicions go to the domain leaders; after two failed rounds without a promotion they are written. Tests: no rows while hosts reach each other (fails on the old code), rows when they do not, a restarted holder.

--- a/packages/heatherpond-fleet/src/__tests__/unit/promotion.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/promotion.test.ts
@@ -270,3 +270,61 @@
 		expect(fleet.hosts.map(host => findPrimary(host)?.database)).toEqual(['db-1', 'db-1']);
 	});
 });
+
+describe('the hosts of a fleet', () => {
+	/** Counts the calls to the store that write a row whose key begins so. */
+	function countWrites(prefix: string): {count: number} {
+		const writes = {count: 0};
+		fleet.store.setFaults(call => {
+			writes.count += call.kind === 'write' && call.transaction!.puts.some(({key}) => key.startsWith(prefix)) ? 1 : 0;
+			return undefined;
+		});
+		return writes;
+	}
+
+	const names = ['host-1', 'host-2', 'host-3', 'host-4', 'host-5', 'host-6'];
+
+	test('write neither confirmations nor suspicions to the store while they reach each other', async () => {
+		await startFleet(...names);
+		const confirmations = countWrites('confirmed/');
+		failPrimary();
+		await measureUntilPrimary('db-2', 1500);
+		expect(confirmations.count).toBe(0);
+		expect(fleet.store.readRow(FLEET_TABLE, `suspected/${GROUP}/host-3`)).toBeUndefined();
+	});
+
+	test('write the confirmations that the host which carries out the promotion does not acknowledge', async () => {
+		await startFleet(...names);
+		fleet.hosts.forEach(host => {
+			host.dropsDatagram = text => text.includes('"confirmation"');
+		});
+		const confirmations = countWrites('confirmed/');
+		failPrimary();
+		await measureUntilPrimary('db-2', 2500);
+		expect(confirmations.count).toBe(names.length - 1);
+	});
+
+	test('write suspicions when no domain leader receives them', async () => {
+		await startFleet(...names);
+		fleet.hosts.forEach(host => {
+			host.dropsDatagram = text => text.includes('"suspicion"');
+		});
+		failPrimary();
+		await measureUntilPrimary('db-2', 4000);
+	});
+
+	test('confirm a promotion again to the next incarnation of the host that carries it out', async () => {
+		await startFleet(...names);
+		failPrimary();
+		while (!fleet.events.some(event => event.includes('promotion_due'))) {
+			await advance(fleet.clock, 5);
+		}
+
+		const holder = fleet.events.find(event => event.includes('promotion_due'))!.split(' ')[1]!;
+		await advance(fleet.clock, 50);
+		fleet.killHost(holder);
+		await advance(fleet.clock, 100);
+		fleet.startHost(holder);
+		await measureUntilPrimary('db-2', 4000);
+	});
+});
--- a/packages/heatherpond-fleet/src/confirm-promotions.ts
+++ b/packages/heatherpond-fleet/src/confirm-promotions.ts
@@ -1,12 +1,15 @@
 /**
- * Confirms promotions: this host sends the old primary no new statements, waits briefly for those in flight, and then
- * records that it no longer acknowledges anything that the old primary commits.
+ * Confirms promotions: this host sends the old primary no new statements, waits briefly for those in flight, and then tells
+ * the host that carries out the promotion that it no longer acknowledges anything that the old primary commits. Only a
+ * confirmation that the other host has not acknowledged is written to the store.
  */
 import {waitUntil, type Deadline} from 'heatherpond-core';
+import {applyConfirmation} from './apply-fleet-update.js';
 import {
 	CONFIRMATION_PREFIX, FLEET_TABLE, type ConfirmationRecord, type PrimacyRecord,
 } from './fleet-records.js';
 import type {FleetServices} from './fleet-services.js';
+import type {HostContact} from './host-messages.js';
 import type {PrimaryWork} from './primary-work.js';
 import {StoreError} from './store-port.js';
 
@@ -14,6 +17,9 @@
 const PLANNED_DRAIN_MS = 350;
 /** Milliseconds for which statements in flight on the old primary may finish when it is not expected to respond. */
 const UNPLANNED_DRAIN_MS = 30;
+/** Milliseconds within which a confirmation must be acknowledged, and how often it is sent. */
+const ACKNOWLEDGEMENT_TIMEOUT_MS = 100;
+const MAX_ATTEMPTS = 3;
 const STORE_TIMEOUT_MS = 500;
 const RETRY_DELAY_MS = 150;
 
@@ -21,8 +27,8 @@
 export type ConfirmationServices = FleetServices & {
 	/** Statements and transactions of this host that are in flight on primaries. */
 	readonly work: PrimaryWork;
-	/** Sends the confirmation to the other hosts directly, in addition to the store. */
-	readonly sendConfirmation: (confirmation: ConfirmationRecord) => void;
+	/** Sends the confirmation to the host that carries out the promotion; resolves to whether it has acknowledged it by the deadline. */
+	readonly requestConfirmation: (holder: HostContact, confirmation: ConfirmationRecord, deadline: Deadline) => Promise<boolean>;
 };
 
 /** Confirms every promotion that appears in the fleet state, until the signal aborts. */
@@ -30,8 +36,8 @@
 	const {blackboard, writeEvent} = services;
 	const started = new Set<string>();
 	const stopListening = blackboard.registerListener(state => state.primacies, primacies => {
-		[...primacies.values()].filter(({record}) => record.promotion && !started.has(record.promotion.id)).forEach(({record}) => {
-			started.add(record.promotion!.id);
+		[...primacies.values()].filter(({record}) => record.promotion && !started.has(formatRun(record))).forEach(({record}) => {
+			started.add(formatRun(record));
 			writeEvent('promotion_seen', {
 				group: record.group, promotion: record.promotion!.id, primary: record.primary, term: record.term,
 			});
@@ -41,8 +47,13 @@
 	signal.addEventListener('abort', stopListening, {once: true});
 }
 
+/** Formats what a confirmation refers to: a host that takes over a promotion needs the confirmations as well. */
+function formatRun({promotion}: PrimacyRecord): string {
+	return `${promotion!.id} ${promotion!.holder?.incarnation ?? ''}`;
+}
+
 async function handlePromotion(services: ConfirmationServices, record: PrimacyRecord, signal: AbortSignal): Promise<void> {
-	const {clock, blackboard, work, sendConfirmation} = services;
+	const {clock, blackboard, work} = services;
 	const promotion = record.promotion!;
 	await work.waitUntilIdle(record.group, clock.readNow() + (promotion.isPlanned ? PLANNED_DRAIN_MS : UNPLANNED_DRAIN_MS), signal);
 	// From here on no commit of the old primary is acknowledged, even if writing the row to the store fails.
@@ -50,11 +61,32 @@
 		...state, ownConfirmations: new Map([...state.ownConfirmations, [record.group, {promotionId: promotion.id, isSent: true}]]),
 	}));
 	const confirmation: ConfirmationRecord = {host: services.identity.host, group: record.group, promotionId: promotion.id};
-	sendConfirmation(confirmation);
+	if (await sendConfirmation(services, promotion.holder?.host, confirmation)) {
+		services.writeEvent('promotion_confirmed', {group: record.group, promotion: promotion.id, to: promotion.holder?.host});
+		return;
+	}
+
 	await writeConfirmation(services, confirmation, signal);
 }
 
-/** Writes the confirmation to the store, because datagrams may be lost and a host that takes over the promotion reads it there. */
+/** Sends a confirmation to the host that carries out the promotion; resolves to whether that host has acknowledged it. */
+async function sendConfirmation(services: ConfirmationServices, holder: string | undefined, confirmation: ConfirmationRecord, attempts = 0): Promise<boolean> {
+	const {identity, blackboard, clock, requestConfirmation} = services;
+	if (holder === identity.host) {
+		blackboard.update(state => applyConfirmation(state, confirmation));
+		return true;
+	}
+
+	const contact = holder === undefined ? undefined : blackboard.read().hosts.get(holder);
+	if (!contact || attempts === MAX_ATTEMPTS) {
+		return false;
+	}
+
+	const isAcknowledged = await requestConfirmation(contact, confirmation, clock.readNow() + ACKNOWLEDGEMENT_TIMEOUT_MS);
+	return isAcknowledged || sendConfirmation(services, holder, confirmation, attempts + 1);
+}
+
+/** Writes the confirmation to the store, where the host that carries out the promotion reads it. */
 async function writeConfirmation({clock, blackboard, identity, store, writeEvent}: FleetServices, confirmation: ConfirmationRecord, signal: AbortSignal): Promise<void> {
 	const {group, promotionId} = confirmation;
 	const row = {table: FLEET_TABLE, key: `${CONFIRMATION_PREFIX}${group}/${identity.host}`, value: JSON.stringify(confirmation)};
--- a/packages/heatherpond-fleet/src/domain-leader.ts
+++ b/packages/heatherpond-fleet/src/domain-leader.ts
@@ -6,7 +6,9 @@
  */
 import type {Clock, Deadline, Instant} from 'heatherpond-core';
 import type {HostContact} from './host-messages.js';
-import {createStoreError, StoreError, type StorePort, type TablePage} from './store-port.js';
+import {
+	createStoreError, StoreError, type StorePort, type TablePage,
+} from './store-port.js';
 
 /** Response of another host to a request for changes: the changes, or that it does not know them; `silent` when it did not respond in time. */
 export type ChangesResponse = {readonly kind: 'page'; readonly page: TablePage} | {readonly kind: 'unknown'} | {readonly kind: 'silent'};
--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -119,7 +119,9 @@
 	const services: FleetServices = {
 		...options, blackboard,
 		sendPrimacy: messages.sendPrimacy,
-		sendSuspicion: messages.sendSuspicion,
+		sendSuspicion(suspicion, isSuspected) {
+			messages.sendSuspicion(suspicion, isSuspected, usage.exchange!.readLeaders());
+		},
 		refreshFleet() {
 			fleet.refresh();
 		},
@@ -163,7 +165,7 @@
 	messages.registerHandlers(createMessageHandlers({
 		host, limits, registration: registrations.current, exchange: usage.exchange, discovery,
 	}));
-	startPromotionConfirmations({...services, work, sendConfirmation: messages.sendConfirmation}, signal);
+	startPromotionConfirmations({...services, work, requestConfirmation: messages.requestConfirmation}, signal);
 	startPromotionController({
 		services, minPromotionLeaseMs: options.minPromotionLeaseMs, isPreferred: () => findDomainLeader() === undefined, signal,
 	});
--- a/packages/heatherpond-fleet/src/fleet-records.ts
+++ b/packages/heatherpond-fleet/src/fleet-records.ts
@@ -21,6 +21,8 @@
 	/** Whether the old primary is expected to respond. */
 	isPlanned: z.boolean(),
 	reason: z.string(),
+	/** Host that carries out the promotion, to which the others confirm it. */
+	holder: z.optional(z.object({host: z.string(), incarnation: z.string()})),
 	/** Database to promote; written before the promotion request is sent, and kept as long as that database is running. */
 	candidate: z.optional(z.string()),
 });
--- a/packages/heatherpond-fleet/src/fleet-services.ts
+++ b/packages/heatherpond-fleet/src/fleet-services.ts
@@ -29,7 +29,7 @@
 	readonly random: () => number;
 	/** Sends a primacy record to the other hosts directly, because some of them may be unable to reach the store. */
 	readonly sendPrimacy: (primacy: Versioned<PrimacyRecord>) => void;
-	/** Notifies the other hosts directly that this host suspects a primary to have failed, or no longer does. */
+	/** Notifies the domain leaders, which start promotions, that this host suspects a primary to have failed, or no longer does. */
 	readonly sendSuspicion: (suspicion: SuspicionRecord, isSuspected: boolean) => void;
 	/** Requests changes of the fleet table immediately instead of at the next poll. */
 	readonly refreshFleet: () => void;
--- a/packages/heatherpond-fleet/src/host-messages.ts
+++ b/packages/heatherpond-fleet/src/host-messages.ts
@@ -62,7 +62,10 @@
 	z.object({kind: z.literal('digest'), digest: domainDigestSchema}),
 	z.object({kind: z.literal('registered'), news: registrationUpdateSchema}),
 	z.object({kind: z.literal('primacy'), record: primacySchema, version: z.number()}),
-	z.object({kind: z.literal('confirmation'), record: confirmationSchema}),
+	z.object({
+		kind: z.literal('confirmation'), id: z.string(), record: confirmationSchema, address: z.string(), port: z.number(),
+	}),
+	z.object({kind: z.literal('confirmed'), id: z.string()}),
 	z.object({
 		kind: z.literal('question'), id: z.string(), table: z.string(), after: z.number(), address: z.string(), port: z.number(),
 	}),
@@ -116,8 +119,9 @@
 	/** Notifies the hosts of the own failure domain which registrations this one has refreshed. */
 	readonly sendRegistered: (news: RegistrationUpdate) => void;
 	readonly sendPrimacy: (primacy: Versioned<PrimacyRecord>) => void;
-	readonly sendConfirmation: (confirmation: ConfirmationRecord) => void;
-	readonly sendSuspicion: (suspicion: SuspicionRecord, isSuspected: boolean) => void;
+	/** Sends a confirmation to the host that carries out a promotion; resolves to whether it has acknowledged it. */
+	readonly requestConfirmation: (host: HostContact, confirmation: ConfirmationRecord, deadline: Deadline) => Promise<boolean>;
+	readonly sendSuspicion: (suspicion: SuspicionRecord, isSuspected: boolean, receivers: readonly HostContact[]) => void;
 	/** Requests the changes of a table from one host. */
 	readonly requestChanges: RequestChanges;
 	/** Requests operations of a team from one host; resolves to nothing when it does not respond in time. */
@@ -216,11 +220,14 @@
 		sendPrimacy({record, version}) {
 			sendToPeers({kind: 'primacy', record, version});
 		},
-		sendConfirmation(record) {
-			sendToPeers({kind: 'confirmation', record});
+		async requestConfirmation(receiver, record, deadline) {
+			const response = await sendRequest(receiver, id => ({
+				kind: 'confirmation', id, record, address: ownAddress, port: ownPort,
+			}), deadline);
+			return response?.kind === 'confirmed';
 		},
-		sendSuspicion(record, isSuspected) {
-			sendToPeers({kind: 'suspicion', record, isSuspected});
+		sendSuspicion(record, isSuspected, receivers) {
+			sendTo(receivers, {kind: 'suspicion', record, isSuspected});
 		},
 		async requestChanges(receiver, {table, after}, deadline) {
 			const response = await sendRequest(receiver, id => ({
@@ -249,6 +256,7 @@
 				const message = parseRecord(messageSchema, text);
 				switch (message?.kind) {
 					case 'question':
+					case 'confirmation':
 					case 'transfer-question':
 					case 'grant-question': {
 						void createResponse(message, handlers).then(response => {
@@ -264,6 +272,7 @@
 					}
 
 					case 'answer':
+					case 'confirmed':
 					case 'transfer':
 					case 'grant': {
 						handleResponse(message.id, message);
@@ -280,8 +289,8 @@
 	};
 }
 
-type RequestMessage = Extract<HostMessage, {readonly kind: 'question' | 'grant-question' | 'transfer-question'}>;
-type ResponseMessage = Extract<HostMessage, {readonly kind: 'answer' | 'grant' | 'transfer'}>;
+type RequestMessage = Extract<HostMessage, {readonly kind: 'question' | 'confirmation' | 'grant-question' | 'transfer-question'}>;
+type ResponseMessage = Extract<HostMessage, {readonly kind: 'answer' | 'confirmed' | 'grant' | 'transfer'}>;
 type NotificationMessage = Exclude<HostMessage, RequestMessage | ResponseMessage | {readonly kind: 'introduction'}>;
 
 async function createResponse(request: RequestMessage, handlers: HostMessageHandlers): Promise<ResponseMessage> {
@@ -293,6 +302,11 @@
 		return {kind: 'transfer', id: request.id, given: handlers.decideTransfer(request.team, request.wanted)};
 	}
 
+	if (request.kind === 'confirmation') {
+		handlers.handleConfirmation(request.record);
+		return {kind: 'confirmed', id: request.id};
+	}
+
 	const page = handlers.readTableChanges(request.table, request.after);
 	return {kind: 'answer', id: request.id, page: page && {...page, rows: [...page.rows]}};
 }
@@ -324,11 +338,6 @@
 			break;
 		}
 
-		case 'confirmation': {
-			handlers.handleConfirmation(message.record);
-			break;
-		}
-
 		case 'suspicion': {
 			handlers.handleSuspicion(message.record, message.isSuspected);
 			break;
--- a/packages/heatherpond-fleet/src/primary-failure-detector.ts
+++ b/packages/heatherpond-fleet/src/primary-failure-detector.ts
@@ -21,6 +21,8 @@
 const PROBE_INTERVAL_MS = 150;
 /** Milliseconds between rounds. */
 const ROUND_INTERVAL_MS = 200;
+/** Number of failed rounds after which a suspicion that has not led to a promotion is written to the store. */
+const ROUNDS_BEFORE_WRITE = 2;
 const STORE_TIMEOUT_MS = 500;
 
 /** Creates the failure detector, which probes until the signal aborts. */
@@ -48,21 +50,34 @@
 
 async function checkPrimary(services: FleetServices, suspect: Suspect, signal: AbortSignal): Promise<void> {
 	const {clock} = services;
-	let isSuspected = false;
+	let failedRounds = 0;
+	let isWritten = false;
 	while (!signal.aborted && findGroup(services, suspect.database) === suspect.group) {
 		if (await hasAnsweredProbes(services, suspect, signal)) {
-			if (isSuspected) {
-				await writeSuspicion(services, suspect, false);
-			}
-
+			await endSuspicion(services, suspect, {isSuspected: failedRounds > 0, isWritten});
 			return;
 		}
 
-		isSuspected ||= await writeSuspicion(services, suspect, true);
+		failedRounds++;
+		notifySuspicion(services, suspect, true);
+		if (failedRounds >= ROUNDS_BEFORE_WRITE && !isWritten) {
+			isWritten = await writeSuspicion(services, suspect, true);
+		}
+
 		await waitUntil(clock, clock.readNow() + ROUND_INTERVAL_MS, signal);
 	}
 }
 
+async function endSuspicion(services: FleetServices, suspect: Suspect, {isSuspected, isWritten}: {readonly isSuspected: boolean; readonly isWritten: boolean}): Promise<void> {
+	if (isSuspected) {
+		notifySuspicion(services, suspect, false);
+	}
+
+	if (isWritten) {
+		await writeSuspicion(services, suspect, false);
+	}
+}
+
 /** Sends two overlapping probes; resolves to whether at least one was answered. */
 async function hasAnsweredProbes(services: FleetServices, suspect: Suspect, signal: AbortSignal): Promise<boolean> {
 	const first = hasAnsweredProbe(services, suspect);
@@ -86,29 +101,43 @@
 	}
 }
 
-/** Writes or removes the suspicion of this host and notifies the other hosts; resolves to whether the store has accepted it. */
-async function writeSuspicion({blackboard, identity, store, clock, writeEvent, sendSuspicion}: FleetServices, {group, database}: Suspect, isSuspected: boolean): Promise<boolean> {
+/** Notifies the domain leaders that this host suspects the primary, or no longer does. */
+function notifySuspicion(services: FleetServices, suspect: Suspect, isSuspected: boolean): void {
+	const record = createSuspicion(services, suspect);
+	if (record) {
+		services.sendSuspicion(record, isSuspected);
+		services.blackboard.update(state => applySuspicion(state, record, isSuspected));
+		services.writeEvent(isSuspected ? 'primary_suspected' : 'primary_answers_again', {group: record.group, database: record.database, term: record.term});
+	}
+}
+
+function createSuspicion({blackboard, identity}: FleetServices, {group, database}: Suspect): SuspicionRecord | undefined {
 	const term = blackboard.read().primacies.get(group)?.record.term;
-	if (term === undefined) {
+	return term === undefined
+		? undefined
+		: {
+			host: identity.host, incarnation: identity.incarnation, group, database, term,
+		};
+}
+
+/** Writes or removes the suspicion of this host, for when no domain leader can be reached; resolves to whether the store has accepted it. */
+async function writeSuspicion(services: FleetServices, suspect: Suspect, isSuspected: boolean): Promise<boolean> {
+	const {identity, store, clock, writeEvent} = services;
+	const record = createSuspicion(services, suspect);
+	if (!record) {
 		return false;
 	}
 
-	const name = {table: FLEET_TABLE, key: `${SUSPICION_PREFIX}${group}/${identity.host}`};
-	const record: SuspicionRecord = {
-		host: identity.host, incarnation: identity.incarnation, group, database, term,
-	};
-	sendSuspicion(record, isSuspected);
-	blackboard.update(state => applySuspicion(state, record, isSuspected));
-	writeEvent(isSuspected ? 'primary_suspected' : 'primary_answers_again', {group, database, term});
+	const row = {table: FLEET_TABLE, key: `${SUSPICION_PREFIX}${record.group}/${identity.host}`};
 	try {
-		await store.writeRows({expected: [], puts: isSuspected ? [{...name, value: JSON.stringify(record)}] : [], removed: isSuspected ? [] : [name]}, clock.readNow() + STORE_TIMEOUT_MS);
+		await store.writeRows({expected: [], puts: isSuspected ? [{...row, value: JSON.stringify(record)}] : [], removed: isSuspected ? [] : [row]}, clock.readNow() + STORE_TIMEOUT_MS);
 		return true;
 	} catch (error) {
 		if (!(error instanceof StoreError)) {
 			throw error;
 		}
 
-		writeEvent('suspicion_unwritten', {group, database, reason: error.message});
+		writeEvent('suspicion_unwritten', {group: record.group, database: record.database, reason: error.message});
 		return false;
 	}
 }
--- a/packages/heatherpond-fleet/src/promotion-controller.ts
+++ b/packages/heatherpond-fleet/src/promotion-controller.ts
@@ -7,7 +7,7 @@
 import {
 	PROMOTION_LEASE_KEY, FLEET_TABLE, PRIMACY_PREFIX, type PromotionLeaseRecord, type PrimacyRecord,
 } from './fleet-records.js';
-import type {FleetServices} from './fleet-services.js';
+import type {FleetServices, HostIdentity} from './fleet-services.js';
 import type {FleetState, Versioned} from './fleet-state.js';
 import {decidePromotionCause, findLiveHosts, type PromotionCause} from './promotion-decisions.js';
 import {runPromotion} from './promotion-run.js';
@@ -140,10 +140,13 @@
 
 	const {services, minPromotionLeaseMs} = controller;
 	const promotionLease = createPromotionLease(state, services.identity, now, Math.max(PROMOTION_LEASE_MS, minPromotionLeaseMs));
-	const version = await submitPrimacies(controller, state, unhandled.map(({record, version: expected}) => ({record, expected})), promotionLease);
+	const taken = unhandled.map(({record, version: expected}) => ({
+		record: {...record, promotion: {...record.promotion!, holder: createHolder(services.identity)}}, expected,
+	}));
+	const version = await submitPrimacies(controller, state, taken, promotionLease);
 	if (version !== undefined) {
-		services.writeEvent('promotion_taken_over', {groups: unhandled.map(({record}) => record.group).join(','), fence: promotionLease.fence, from: state.duty?.record.holder});
-		unhandled.forEach(({record}) => {
+		services.writeEvent('promotion_taken_over', {groups: taken.map(({record}) => record.group).join(','), fence: promotionLease.fence, from: state.duty?.record.holder});
+		taken.forEach(({record}) => {
 			startPromotionRun(controller, {record, version}, promotionLease);
 		});
 	}
@@ -171,6 +174,10 @@
 	await waitUntil(clock, clock.readNow() + (isPreferred() ? jitter : NON_PREFERRED_DELAY_MS + (2 * jitter)), signal);
 }
 
+function createHolder({host, incarnation}: HostIdentity): NonNullable<NonNullable<PrimacyRecord['promotion']>['holder']> {
+	return {host, incarnation};
+}
+
 type DuePromotion = {readonly primacy: Versioned<PrimacyRecord>; readonly cause: PromotionCause};
 
 function findDuePromotions(state: FleetState, now: Instant): readonly DuePromotion[] {
@@ -187,7 +194,9 @@
 	const promotionLease = createPromotionLease(state, identity, clock.readNow(), Math.max(PROMOTION_LEASE_MS, minPromotionLeaseMs));
 	const record: PrimacyRecord = {
 		...primacy.record,
-		promotion: {id: `${identity.incarnation}-${primacy.version}`, isPlanned: cause.isPlanned, reason: cause.reason},
+		promotion: {
+			id: `${identity.incarnation}-${primacy.version}`, isPlanned: cause.isPlanned, reason: cause.reason, holder: createHolder(identity),
+		},
 	};
 	writeEvent('promotion_due', {
 		group: record.group, primary: record.primary, term: record.term, reason: cause.reason, fence: promotionLease.fence,
--- a/packages/heatherpond-fleet/src/usage-exchange.ts
+++ b/packages/heatherpond-fleet/src/usage-exchange.ts
@@ -42,6 +42,8 @@
 	readonly applyIntroduced: (hosts: readonly HostContact[]) => void;
 	/** Finds the leader of a domain that has reported recently, or of the own domain; `undefined` when it is not known. */
 	readonly findLeaderOf: (domain: string) => HostContact | undefined;
+	/** Reads the leaders of all domains except this host. */
+	readonly readLeaders: () => readonly HostContact[];
 	/** Reads the leaders of the other domains that have reported recently, those with the least demand of a team first. */
 	readonly readOtherLeaders: (team: string) => readonly HostContact[];
 	/** Reads the leaders of the other domains whose recent report says that the contracts are verified there, in the order of their domains. */
@@ -263,6 +265,10 @@
 
 			return received && isRecent(received) ? received.report : undefined;
 		},
+		readLeaders() {
+			const own = peers.findLeader();
+			return [...(own ? [own] : []), ...[...domainReports.values()].filter(isRecent).map(({report}) => report)];
+		},
 		readOtherLeaders: team => [...domainReports.values()]
 			.filter(isRecent)
 			.map(({report}) => report)
