Wake the controllers on changes instead of every 50 ms, and keep the selection of relays

Change: one loop that can be woken (core, used by follower, registration and promotion controller, each of which had its own): a step every 250 ms, 50 ms while something is in progress, at once when primaries, suspicions or databases change. The selection of relays is kept until hosts or contracts change.

--- a/packages/heatherpond-core/src/index.ts
+++ b/packages/heatherpond-core/src/index.ts
@@ -19,6 +19,7 @@
 export * from './host-state.js';
 export * from './key-freshness.js';
 export * from './log-entry.js';
+export * from './loop.js';
 export * from './membership.js';
 export type * from './metrics-port.js';
 export * from './peer-port.js';
--- a/packages/heatherpond-fleet/src/host-registration.ts
+++ b/packages/heatherpond-fleet/src/host-registration.ts
@@ -4,7 +4,9 @@
  * hosts, and notifies them; a host that is not notified in time registers itself. A host whose registration has expired
  * relies on no lease.
  */
-import {waitUntil, type Instant} from 'heatherpond-core';
+import {
+	startLoop, type Deadline, type Instant, type Loop,
+} from 'heatherpond-core';
 import type {FindDomainLeader} from './domain-leader.js';
 import {HOSTS_TABLE, type HostRecord} from './fleet-records.js';
 import type {FleetServices} from './fleet-services.js';
@@ -82,8 +84,6 @@
 	/** Index of the next host of another failure domain to include in a notification. */
 	nextRemoteHost: number;
 	readonly startedAt: Instant;
-	/** Ends the wait for the next check. */
-	wake: AbortController;
 };
 
 /** Starts to refresh the registration periodically, until the signal aborts. */
@@ -91,17 +91,17 @@
 	const {services: {blackboard, clock}, signal} = options;
 	const startedAt = clock.readNow();
 	const registration: Registration = {
-		...options, refreshes: 0, failures: 0, nextRefreshAt: startedAt, newPeersDueAt: Number.POSITIVE_INFINITY, listReadAt: Number.NEGATIVE_INFINITY, versions: new Map(), nextRemoteHost: 0, startedAt, wake: new AbortController(),
+		...options, refreshes: 0, failures: 0, nextRefreshAt: startedAt, newPeersDueAt: Number.POSITIVE_INFINITY, listReadAt: Number.NEGATIVE_INFINITY, versions: new Map(), nextRemoteHost: 0, startedAt,
 	};
+	let loop: Loop | undefined;
+	void options.waitUntilDiscovered().then(() => {
+		loop = startLoop(clock, async () => runCheck(registration), signal);
+	});
 	const stopListening = registerSuspensionListener(blackboard, () => {
 		registration.nextRefreshAt = clock.readNow();
-		registration.wake.abort();
+		loop?.wake();
 	});
-	signal.addEventListener('abort', () => {
-		stopListening();
-		registration.wake.abort();
-	}, {once: true});
-	void runRegistration(registration);
+	signal.addEventListener('abort', stopListening, {once: true});
 	return {
 		applyRegistrationUpdate({runs, farHosts}) {
 			blackboard.update(state => applyRemoteDomainHosts(state, farHosts));
@@ -115,24 +115,21 @@
 		registerNewPeers() {
 			if (options.findDomainLeader() === undefined && registration.failures === 0) {
 				registration.newPeersDueAt = Math.min(registration.newPeersDueAt, clock.readNow() + NEW_PEERS_DELAY_MS);
-				registration.wake.abort();
+				loop?.wake();
 			}
 		},
 	};
 }
 
-async function runRegistration(registration: Registration): Promise<void> {
-	const {services: {clock, blackboard}, signal} = registration;
-	await registration.waitUntilDiscovered();
-	while (!signal.aborted) {
-		registration.wake = new AbortController();
-		const isDue = clock.readNow() >= readNextRefresh(registration) && isRefreshDue(registration);
-		if (!blackboard.read().isStopping && isDue) {
-			await runRefresh(registration);
-		}
-
-		await waitUntil(clock, findNextCheck(registration), registration.wake.signal);
+/** Refreshes registrations if that is due; resolves to when to check again. */
+async function runCheck(registration: Registration): Promise<Deadline> {
+	const {services: {clock, blackboard}} = registration;
+	const isDue = clock.readNow() >= readNextRefresh(registration) && isRefreshDue(registration);
+	if (!blackboard.read().isStopping && isDue) {
+		await runRefresh(registration);
 	}
+
+	return findNextCheck(registration);
 }
 
 /** Finds the next instant at which a refresh may be due; without a pending refresh it is checked at intervals. */
--- a/packages/heatherpond-fleet/src/promotion-controller.ts
+++ b/packages/heatherpond-fleet/src/promotion-controller.ts
@@ -1,5 +1,5 @@
 /** Starts due promotions, takes over those that another host has abandoned, and records the initial primary of each group. */
-import {runPeriodically, waitUntil, type Instant} from 'heatherpond-core';
+import {startLoop, waitUntil, type Instant} from 'heatherpond-core';
 import {applyPrimacy} from './apply-fleet-update.js';
 import {
 	createPromotionLease, PROMOTION_LEASE_MS, PROMOTION_LEASE_RENEWAL_MS, isPromotionLeaseAvailable, hasPromotionLease, readPromotionLeaseDeadline,
@@ -36,7 +36,10 @@
 	unrecordedSince: Instant;
 };
 
-const STEP_INTERVAL_MS = 50;
+/** Milliseconds between steps; a change of primaries, suspicions or databases triggers one at once. */
+const STEP_INTERVAL_MS = 250;
+/** Milliseconds between steps while a promotion is in progress or may become due. */
+const ACTIVE_STEP_INTERVAL_MS = 50;
 const STORE_TIMEOUT_MS = 600;
 const STATUS_TIMEOUT_MS = 400;
 /** Maximum random delay in milliseconds before a host acts on a condition that all hosts observe. */
@@ -52,9 +55,28 @@
 	const controller: Controller = {
 		...options, runningGroups: new Set(), firstSeenAt: new Map(), lastKnownUpstreams: new Map(), nextAttemptAt: 0, unrecordedSince: Number.POSITIVE_INFINITY,
 	};
-	void runPeriodically(options.services.clock, STEP_INTERVAL_MS, async () => {
+	const {services: {blackboard, clock}, signal} = options;
+	const loop = startLoop(clock, async () => {
+		const startedAt = clock.readNow();
 		await runStep(controller);
-	}, options.signal);
+		return startedAt + (isActive(controller) ? ACTIVE_STEP_INTERVAL_MS : STEP_INTERVAL_MS);
+	}, signal);
+	const stopListening = [
+		blackboard.registerListener(({primacies}) => primacies, loop.wake),
+		blackboard.registerListener(({suspicions}) => suspicions, loop.wake),
+		blackboard.registerListener(({upstreams}) => upstreams, loop.wake),
+	];
+	signal.addEventListener('abort', () => {
+		stopListening.forEach(stop => {
+			stop();
+		});
+	}, {once: true});
+}
+
+/** Whether there is work that must be continued without delay. */
+function isActive({services: {blackboard}, runningGroups, unrecordedSince}: Controller): boolean {
+	const {primacies, suspicions} = blackboard.read();
+	return runningGroups.size > 0 || Number.isFinite(unrecordedSince) || suspicions.size > 0 || [...primacies.values()].some(({record}) => record.promotion);
 }
 
 async function runStep(controller: Controller): Promise<void> {
--- /dev/null
+++ b/packages/heatherpond-fleet/src/relay-selection-cache.ts
@@ -0,0 +1,43 @@
+/** Keeps the selected relays of databases until the hosts or the contracts change, because every statement needs them. */
+import type {Contracts} from './contracts.js';
+import type {HostRecord} from './fleet-records.js';
+import {orderRelaysForTeam} from './relay-selection.js';
+
+/** Cache of selected relays. */
+export type RelaySelectionCache = {
+	/** Returns the relays of a database, which `select` selects when they are not known. */
+	readonly findRelays: (database: string, select: () => readonly HostRecord[]) => readonly HostRecord[];
+	/** Returns the relays of a database in the order of preference for a team. */
+	readonly orderForTeam: (database: string, team: string, relays: readonly HostRecord[]) => readonly HostRecord[];
+	/** Discards the selection if the hosts or the contracts have changed since the previous call. */
+	readonly refresh: (hosts: readonly HostRecord[], contracts: Contracts | undefined) => void;
+};
+
+/** Creates an empty cache. */
+export function createRelaySelectionCache(): RelaySelectionCache {
+	const byDatabase = new Map<string, readonly HostRecord[]>();
+	const byTeam = new Map<string, readonly HostRecord[]>();
+	let basis = '';
+
+	return {
+		findRelays(database, select) {
+			const known = byDatabase.get(database) ?? select();
+			byDatabase.set(database, known);
+			return known;
+		},
+		orderForTeam(database, team, relays) {
+			const key = `${database}/${team}`;
+			const known = byTeam.get(key) ?? orderRelaysForTeam(relays, team);
+			byTeam.set(key, known);
+			return known;
+		},
+		refresh(hosts, contracts) {
+			const current = `${contracts?.version ?? ''} ${hosts.map(({host, incarnation}) => `${host}/${incarnation}`).join(' ')}`;
+			if (current !== basis) {
+				basis = current;
+				byDatabase.clear();
+				byTeam.clear();
+			}
+		},
+	};
+}
--- a/packages/heatherpond-fleet/src/table-follower.ts
+++ b/packages/heatherpond-fleet/src/table-follower.ts
@@ -4,7 +4,7 @@
  * were complete when its much older request was sent. A request that times out is repeated on a new connection.
  */
 import {
-	waitUntil, type Clock, type Deadline, type Instant,
+	startLoop, type Clock, type Deadline, type Instant, type Loop,
 } from 'heatherpond-core';
 import {StoreError, type StorePort, type TablePage} from './store-port.js';
 
@@ -54,7 +54,7 @@
 export function startTableFollower(options: TableFollowerOptions): TableFollower {
 	let version = 0;
 	let failures = 0;
-	let wake = new AbortController();
+	let loop: Loop | undefined;
 
 	async function readPage(requestedAt: Instant): Promise<TableUpdate> {
 		const {store, table} = options;
@@ -93,26 +93,19 @@
 		}
 	}
 
-	async function runFollower(): Promise<void> {
-		options.signal.addEventListener('abort', () => {
-			wake.abort();
-		}, {once: true});
-		if (options.waitUntilStart) {
-			await options.waitUntilStart();
-		}
+	function startPolling(): void {
+		loop = startLoop(options.clock, runPoll, options.signal);
+	}
 
-		while (!options.signal.aborted) {
-			// A refresh that is requested while a request is in flight triggers another request.
-			wake = new AbortController();
-			const next = await runPoll();
-			await waitUntil(options.clock, next, wake.signal);
-		}
+	if (options.waitUntilStart) {
+		void options.waitUntilStart().then(startPolling);
+	} else {
+		startPolling();
 	}
 
-	void runFollower();
 	return {
 		refresh() {
-			wake.abort();
+			loop?.wake();
 		},
 	};
 }
--- a/packages/heatherpond-fleet/src/upstream-directory.ts
+++ b/packages/heatherpond-fleet/src/upstream-directory.ts
@@ -5,7 +5,8 @@
 } from 'heatherpond-session';
 import type {HostRecord} from './fleet-records.js';
 import type {FleetBlackboard} from './fleet-state.js';
-import {selectRelays, isRelayRequired, orderRelaysForTeam} from './relay-selection.js';
+import {selectRelays, isRelayRequired} from './relay-selection.js';
+import {createRelaySelectionCache} from './relay-selection-cache.js';
 import type {RelayClient} from './relay-client.js';
 import type {Upstream} from './upstream.js';
 
@@ -36,7 +37,7 @@
 	readonly acquireOwn: (database: string, request: ConnectionRequest) => Promise<ConnectionHandle>;
 	/** Statements in flight and open connections, by database. */
 	readonly readUsage: () => Record<string, [number, number]>;
-	/** Closes connections past their idle timeout and pools of databases that are no longer registered, and clears the cached selection of relays. */
+	/** Closes connections past their idle timeout and pools of databases that are no longer registered, and selects relays anew when the hosts have changed. */
 	readonly refresh: () => void;
 	readonly destroy: () => void;
 };
@@ -76,8 +77,7 @@
 export function createUpstreamDirectory(options: UpstreamDirectoryOptions): UpstreamDirectory {
 	const {clock, blackboard, positions} = options;
 	const entries = new Map<string, UpstreamEntry>();
-	/** Cache of selected relays, by database; cleared on each refresh. */
-	const relaysByDatabase = new Map<string, readonly HostRecord[]>();
+	const relays = createRelaySelectionCache();
 
 	function findEntry(upstream: Upstream): UpstreamEntry {
 		const known = entries.get(upstream.id);
@@ -111,26 +111,26 @@
 
 	/** Finds the relays of a database; none when each host opens its own connections. */
 	function findDatabaseRelays(upstream: Upstream): readonly HostRecord[] {
-		const known = relaysByDatabase.get(upstream.id);
-		if (known) {
-			return known;
-		}
-
-		const hosts = options.readHosts();
-		const {total: connections} = readConnectionBudget(upstream);
-		const found = isRelayRequired({connections, hosts})
-			? selectRelays({
-				database: upstream.id, domain: upstream.domain, connections, hosts, readRegion: options.readRegion,
-			})
-			: [];
-		relaysByDatabase.set(upstream.id, found);
-		return found;
+		return relays.findRelays(upstream.id, () => {
+			const hosts = options.readHosts();
+			const {total: connections} = readConnectionBudget(upstream);
+			return isRelayRequired({connections, hosts})
+				? selectRelays({
+					database: upstream.id, domain: upstream.domain, connections, hosts, readRegion: options.readRegion,
+				})
+				: [];
+		});
 	}
 
 	/** Finds the relay for a team; nothing when this host is the relay, the database has none, or all are backing off. */
 	function findRelay(upstream: Upstream, team: string): HostRecord | undefined {
+		const all = findDatabaseRelays(upstream);
+		if (all.length === 0) {
+			return undefined;
+		}
+
 		const [own] = options.readHosts();
-		const chosen = orderRelaysForTeam(findDatabaseRelays(upstream), team).find(({host}) => host === own!.host || !options.relays.isBackingOff(host));
+		const chosen = relays.orderForTeam(upstream.id, team, all).find(({host}) => host === own!.host || !options.relays.isBackingOff(host));
 		return chosen?.host === own!.host ? undefined : chosen;
 	}
 
@@ -141,9 +141,9 @@
 	function readConnectionLimit(upstream: Upstream): number {
 		const {total, unused} = readConnectionBudget(upstream);
 		const allHosts = options.readHosts();
-		const relays = findDatabaseRelays(upstream);
-		if (relays.length > 0) {
-			return relays.some(({host}) => host === allHosts[0]!.host) ? Math.max(1, Math.floor(total / relays.length)) : FALLBACK_CONNECTIONS;
+		const databaseRelays = findDatabaseRelays(upstream);
+		if (databaseRelays.length > 0) {
+			return databaseRelays.some(({host}) => host === allHosts[0]!.host) ? Math.max(1, Math.floor(total / databaseRelays.length)) : FALLBACK_CONNECTIONS;
 		}
 
 		const hosts = allHosts.length;
@@ -249,7 +249,7 @@
 		},
 		refresh() {
 			const now = clock.readNow();
-			relaysByDatabase.clear();
+			relays.refresh(options.readHosts(), blackboard.read().contracts);
 			[...entries].forEach(([id, entry]) => {
 				entry.pool.closeIdle(now - readIdleTimeoutMs(id));
 				if (!findUpstream(id) && entry.pool.countInUse() === 0) {
