--- a/packages/heatherpond-fleet/src/usage-exchange.ts
+++ b/packages/heatherpond-fleet/src/usage-exchange.ts
@@ -1,12 +1,12 @@
 /**
- * Exchanges usage reports. The hosts of a failure domain report to their leader, which sends them a digest of all reports;
- * while no digest arrives, they report to each other, so that they know whom to follow next. The leader also sends the sum
+ * Exchanges usage reports. The hosts of a failure domain report to their leader, which sends them a digest of all reports; in
+ * a small domain, and while no digest arrives, they report to each other, so that they know whom to follow next. The leader also sends the sum
  * over its domain to one host of every other domain, which relays it to its domain peers.
  */
 import {runPeriodically, type Instant} from 'heatherpond-core';
 import type {FindDomainLeader} from './domain-leader.js';
 import {
-	createDomainPeers, DIGEST_EXPIRY_MS, REPORT_EXPIRY_MS, type DomainPeers, type ReceivedReport,
+	createDomainPeers, DIGEST_EXPIRY_MS, REPORT_EXPIRY_MS, type ReceivedReport,
 } from './domain-peers.js';
 import type {FleetServices} from './fleet-services.js';
 import {registerSuspensionListener} from './fleet-state.js';
@@ -17,6 +17,8 @@
 
 /** Time between two reports of a host, in milliseconds. */
 const REPORT_INTERVAL_MS = 1200;
+/** Number of hosts of a domain up to which they report to each other and not only to the leader. */
+const MAX_MESH_HOSTS = 6;
 /** Minimum time between two digests that answer the digest of another host, in milliseconds. */
 const MIN_DIGEST_REPLY_INTERVAL_MS = 100;
 /** Age up to which reports are kept, in milliseconds; until then the last report of a silent domain still counts as its demand. */
@@ -124,7 +126,19 @@
 			return;
 		}
 
-		messages.sendUsage(report, leader && peers.readDigest() ? [leader] : peers.readContacts());
+		messages.sendUsage(report, leader && readTrustedDigest() ? [leader] : peers.readContacts());
+	}
+
+	/** Reads the digest where it stands for the reports of the domain peers; in a small domain their own reports are more recent. */
+	function readTrustedDigest(): DomainDigest | undefined {
+		const digest = peers.readDigest();
+		return digest && digest.members.length > MAX_MESH_HOSTS ? digest : undefined;
+	}
+
+	/** Counts the live domain peers: those that the leader names, or those that report to this host. */
+	function countLivePeers(): number {
+		const digest = readTrustedDigest();
+		return digest ? digest.members.length - 1 : peers.readReports().length;
 	}
 
 	function removeExpired(): void {
@@ -163,7 +177,7 @@
 	function notifyNewHost(newHost: HostContact): void {
 		if (!peers.findLeader() && !isDiscovering()) {
 			messages.sendDigest(createDigest(createReport()), [newHost]);
-		} else if (!peers.readDigest()) {
+		} else if (!readTrustedDigest()) {
 			messages.sendUsage(createReport(), [newHost]);
 		}
 	}
@@ -210,7 +224,7 @@
 
 	/** Reads the usage of the other hosts of the domain. */
 	function readPeerUsage(): DomainUsage {
-		const digest = peers.readDigest();
+		const digest = readTrustedDigest();
 		return digest ? computeOthersUsage(digest.usage, lastOwnUsage) : computeTotalUsage(peers.readReports().map(({report}) => report));
 	}
 
@@ -220,9 +234,9 @@
 		const registered = messages.readPeers();
 		const known = [...domainReports.values()].map(({report}) => report);
 		const peerCount = registered.filter(({domain}) => domain === identity.domain).length;
-		const liveDomainHosts = countLivePeers(peers) + 1;
+		const liveDomainHosts = countLivePeers() + 1;
 		const unreportedDomains = new Set(registered.map(({domain}) => domain).filter(domain => domain !== identity.domain && !domainReports.has(domain)));
-		const digest = peers.readDigest();
+		const digest = readTrustedDigest();
 		return {
 			otherDomains: {
 				demandPerSecond: countTeamDemand(known, team), heard: known.length, unheard: unreportedDomains.size, coveredFraction: liveDomainHosts / Math.max(liveDomainHosts, peerCount + 1),
@@ -290,12 +304,6 @@
 	};
 }
 
-/** Counts the live domain peers: those that the leader names, or those that report to this host. */
-function countLivePeers(peers: DomainPeers): number {
-	const digest = peers.readDigest();
-	return digest ? digest.members.length - 1 : peers.readReports().length;
-}
-
 /** Subtracts the usage that this host has reported from that of its domain. */
 function computeOthersUsage(usage: DomainUsage, own: HostUsage): DomainUsage {
 	return {
