Pool connections at relays wherever a host would have fewer than one for each team

Relays were used below two connections a host only. Change: below one for each team, up to eight; two relays at least, so that one can fail.

--- a/packages/heatherpond-fleet/src/relay-selection.ts
+++ b/packages/heatherpond-fleet/src/relay-selection.ts
@@ -23,14 +23,20 @@
 	readonly readRegion: (domain: string) => string;
 };
 
-/** Number of connections per host below which relays are used. */
+/** Number of connections per host below which relays are used: one for each team, but no more than the upper bound. */
 const MIN_CONNECTIONS_PER_HOST = 2;
-/** Minimum number of connections per relay, unless the only relay has fewer. */
+const MAX_CONNECTIONS_PER_HOST = 8;
+/** Minimum number of connections per relay, unless there are only as few relays as are needed for one of them to fail. */
 const MIN_CONNECTIONS_PER_RELAY = 10;
+const MIN_RELAYS = 2;
 
-/** Whether the connection limit is too low for every host to open its own connections. */
-export function isRelayRequired({connections, hosts}: Pick<RelayCriteria<RelayHost>, 'connections' | 'hosts'>): boolean {
-	return Math.floor(connections / Math.max(1, hosts.length)) < MIN_CONNECTIONS_PER_HOST;
+/**
+ * Whether the connection limit is too low for every host to keep a connection for each team. A host with fewer connections
+ * than teams closes and opens them all the time, and an opening takes a slot of the database and two more round trips.
+ */
+export function isRelayRequired({connections, hosts, teams}: Pick<RelayCriteria<RelayHost>, 'connections' | 'hosts'> & {readonly teams: number}): boolean {
+	const required = Math.max(MIN_CONNECTIONS_PER_HOST, Math.min(MAX_CONNECTIONS_PER_HOST, teams));
+	return Math.floor(connections / Math.max(1, hosts.length)) < required;
 }
 
 /** Selects the relays of a database, preferably in its failure domain, otherwise in its region. */
@@ -38,7 +44,7 @@
 	const near = hosts.filter(host => host.domain === domain);
 	const regional = near.length > 0 ? near : hosts.filter(host => readRegion(host.domain) === readRegion(domain));
 	const eligible = regional.length > 0 ? regional : hosts;
-	const count = Math.max(1, Math.floor(connections / MIN_CONNECTIONS_PER_RELAY));
+	const count = Math.max(Math.min(MIN_RELAYS, connections), Math.floor(connections / MIN_CONNECTIONS_PER_RELAY));
 	return orderHosts(eligible, database).slice(0, count);
 }
 
--- a/packages/heatherpond-fleet/src/upstream-directory.ts
+++ b/packages/heatherpond-fleet/src/upstream-directory.ts
@@ -114,7 +114,7 @@
 		return relays.findRelays(upstream.id, () => {
 			const hosts = options.readHosts();
 			const {total: connections} = readConnectionBudget(upstream);
-			return isRelayRequired({connections, hosts})
+			return isRelayRequired({connections, hosts, teams: blackboard.read().contracts?.teams.size ?? 0})
 				? selectRelays({
 					database: upstream.id, domain: upstream.domain, connections, hosts, readRegion: options.readRegion,
 				})
