--- a/packages/heatherpond-fleet/src/relay-messages.ts
+++ b/packages/heatherpond-fleet/src/relay-messages.ts
@@ -99,7 +99,7 @@
 	}
 
 	return {
-		needs: needs && {variables: new Map(needs.variables), statement: needs.statement}, begin, command, isSentOnce, isLast, primary, remainingMs: deadline - clock.readNow(),
+		needs: needs && {variables: new Map(needs.variables), statement: needs.statement}, begin, command, isSentOnce, isLast, primary, remainingMs: Math.round(deadline - clock.readNow()),
 	};
 }
 
