--- a/packages/heatherpond-core/src/loop.ts
+++ b/packages/heatherpond-core/src/loop.ts
@@ -26,11 +26,11 @@
 		}
 	}
 
-	function wake(): void {
+	function endPause(): void {
 		pause.abort();
 	}
 
-	signal.addEventListener('abort', wake, {once: true});
+	signal.addEventListener('abort', endPause, {once: true});
 	void runSteps();
-	return {wake};
+	return {wake: endPause};
 }
--- a/packages/heatherpond-fleet/src/__tests__/unit/relay-load.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/relay-load.test.ts
@@ -70,7 +70,7 @@
 	return waits.reduce((sum, wait) => sum + wait, 0) / waits.length;
 }
 
-async function playOwnPools(): Promise<Played> {
+async function runWithOwnPools(): Promise<Played> {
 	const clock = createFakeClock(0);
 	let openings = 0;
 	const pools = new Map(HOSTS.map(({host}) => [host, createPool(clock, CONNECTIONS / HOSTS.length, () => {
@@ -80,7 +80,7 @@
 	return {openings, meanWaitMs};
 }
 
-async function playRelays(): Promise<Played> {
+async function runWithRelays(): Promise<Played> {
 	const clock = createFakeClock(0);
 	let openings = 0;
 	const relays = selectRelays({
@@ -96,8 +96,8 @@
 describe('a database with fewer connections for each host than teams', () => {
 	test('is reached through relays, which open a connection for each team instead of one for most statements', async () => {
 		expect(isRelayRequired({connections: CONNECTIONS, hosts: HOSTS, teams: TEAMS.length})).toBe(true);
-		const own = await playOwnPools();
-		const relayed = await playRelays();
+		const own = await runWithOwnPools();
+		const relayed = await runWithRelays();
 		expect(own.openings).toBeGreaterThan(STATEMENTS / 2);
 		expect(relayed.openings).toBeLessThanOrEqual(CONNECTIONS * 2);
 		expect(relayed.meanWaitMs).toBeLessThan(own.meanWaitMs / 3);
