--- a/packages/heatherpond-fleet/src/confirm-promotions.ts
+++ b/packages/heatherpond-fleet/src/confirm-promotions.ts
@@ -9,7 +9,7 @@
 	CONFIRMATION_PREFIX, FLEET_TABLE, type ConfirmationRecord, type PrimacyRecord,
 } from './fleet-records.js';
 import type {FleetServices} from './fleet-services.js';
-import type {HostContact} from './host-messages.js';
+import type {HostContact} from './host-message.js';
 import type {PrimaryWork} from './primary-work.js';
 import {StoreError} from './store-port.js';
 
--- a/packages/heatherpond-fleet/src/domain-leader.ts
+++ b/packages/heatherpond-fleet/src/domain-leader.ts
@@ -5,7 +5,7 @@
  * request.
  */
 import type {Clock, Deadline, Instant} from 'heatherpond-core';
-import type {HostContact} from './host-messages.js';
+import type {HostContact} from './host-message.js';
 import {
 	createStoreError, StoreError, type StorePort, type TablePage,
 } from './store-port.js';
--- a/packages/heatherpond-fleet/src/domain-peers.ts
+++ b/packages/heatherpond-fleet/src/domain-peers.ts
@@ -6,7 +6,7 @@
 import {findDomainLeader} from './domain-leader.js';
 import type {HostRecord} from './fleet-records.js';
 import type {HostIdentity} from './fleet-services.js';
-import type {HostContact} from './host-messages.js';
+import type {HostContact} from './host-message.js';
 import type {DomainDigest, DomainMember, UsageReport} from './usage-report.js';
 
 /** A report of another host or domain, and when it was received. */
--- a/packages/heatherpond-fleet/src/host-discovery.ts
+++ b/packages/heatherpond-fleet/src/host-discovery.ts
@@ -7,7 +7,7 @@
 	waitUntil, type Clock, type Deadline, type Instant,
 } from 'heatherpond-core';
 import type {HostIdentity} from './fleet-services.js';
-import type {HostContact} from './host-messages.js';
+import type {HostContact} from './host-message.js';
 
 /** Address at which a seed receives datagrams. */
 export type SeedAddress = {readonly address: string; readonly port: number};
--- a/packages/heatherpond-fleet/src/host-list.ts
+++ b/packages/heatherpond-fleet/src/host-list.ts
@@ -2,7 +2,7 @@
 import type {Instant} from 'heatherpond-core';
 import {hostSchema, parseRecord, type HostRecord} from './fleet-records.js';
 import type {FleetState} from './fleet-state.js';
-import type {HostContact} from './host-messages.js';
+import type {HostContact} from './host-message.js';
 import type {TablePage} from './store-port.js';
 
 /** Merges registrations of hosts of other failure domains, as received from the domain leader. */
--- a/packages/heatherpond-fleet/src/host-messages.ts
+++ b/packages/heatherpond-fleet/src/host-messages.ts
@@ -1,20 +1,20 @@
 /** Datagrams between hosts: usage reports, registrations, promotions and their confirmations, suspicions, and requests with their responses. */
 import type {Deadline, Instant} from 'heatherpond-core';
-import * as z from 'zod/mini';
 import {
-	confirmationSchema, hostSchema, parseRecord, primacySchema, suspicionSchema, type ConfirmationRecord, type HostRecord, type PrimacyRecord, type SuspicionRecord,
+	parseRecord, type ConfirmationRecord, type HostRecord, type PrimacyRecord, type SuspicionRecord,
 } from './fleet-records.js';
 import {createDatagramParts, type DatagramPort} from './datagram-parts.js';
 import type {RequestChanges} from './domain-leader.js';
 import type {SeedAddress} from './host-discovery.js';
+import {
+	hostMessageSchema, type HostContact, type HostMessage, type NotificationMessage, type RegistrationUpdate, type RequestMessage, type ResponseMessage,
+} from './host-message.js';
 import type {FleetServices} from './fleet-services.js';
 import type {Versioned} from './fleet-state.js';
 import {REGISTRATION_EXPIRY_MS} from './promotion-decisions.js';
 import type {TablePage} from './store-port.js';
 import type {RequestGrant, Grant, TeamLimitsOptions} from './team-limits.js';
-import {
-	domainDigestSchema, usageReportSchema, type DomainDigest, type UsageReport,
-} from './usage-report.js';
+import type {DomainDigest, UsageReport} from './usage-report.js';
 
 /** Age of the last known registration of a host in another domain after which it is no longer sent messages, in milliseconds. */
 const REMOTE_PEER_EXPIRY_MS = 30_000;
@@ -25,66 +25,6 @@
 /** Peers found among a list of hosts. */
 type FoundPeers = {readonly hosts: ReadonlyMap<string, HostRecord>; readonly storeClockOffset: number; readonly until: Instant; readonly found: readonly HostRecord[]};
 
-/** Changes of a table, as one host sends them to another. */
-const pageSchema = z.object({
-	rows: z.array(z.object({key: z.string(), version: z.number(), value: z.optional(z.string())})),
-	version: z.number(),
-	storeNow: z.number(),
-	ageMs: z.optional(z.number()),
-});
-
-/** A host to which messages can be sent. */
-const contactSchema = z.omit(hostSchema, {refreshedAt: true});
-
-/** A host to which messages can be sent. */
-export type HostContact = z.infer<typeof contactSchema>;
-
-/** An incarnation of a host whose registration has been refreshed, based on the usage report with this sequence number. */
-const registeredIncarnationSchema = z.object({incarnation: z.string(), sequence: z.number()});
-
-/** An incarnation whose registration has been refreshed. */
-export type RegisteredIncarnation = z.infer<typeof registeredIncarnationSchema>;
-
-/** Message of a domain leader to its failure domain after it has refreshed registrations. */
-const registrationUpdateSchema = z.object({
-	runs: z.array(registeredIncarnationSchema),
-	/** Some of the hosts of other failure domains, as last read from the store. */
-	farHosts: z.array(hostSchema),
-});
-
-/** Notice that registrations have been refreshed. */
-export type RegistrationUpdate = z.infer<typeof registrationUpdateSchema>;
-
-const messageSchema = z.discriminatedUnion('kind', [
-	z.object({kind: z.literal('usage'), report: usageReportSchema, isRelayed: z.boolean()}),
-	z.object({kind: z.literal('introduction'), host: contactSchema}),
-	z.object({kind: z.literal('introduced'), hosts: z.array(contactSchema)}),
-	z.object({kind: z.literal('digest'), digest: domainDigestSchema}),
-	z.object({kind: z.literal('registered'), news: registrationUpdateSchema}),
-	z.object({kind: z.literal('primacy'), record: primacySchema, version: z.number()}),
-	z.object({
-		kind: z.literal('confirmation'), id: z.string(), record: confirmationSchema, address: z.string(), port: z.number(),
-	}),
-	z.object({kind: z.literal('confirmed'), id: z.string()}),
-	z.object({
-		kind: z.literal('question'), id: z.string(), table: z.string(), after: z.number(), address: z.string(), port: z.number(),
-	}),
-	z.object({kind: z.literal('answer'), id: z.string(), page: z.optional(pageSchema)}),
-	z.object({
-		kind: z.literal('grant-question'), id: z.string(), team: z.string(), wanted: z.number(), address: z.string(), port: z.number(),
-	}),
-	z.object({
-		kind: z.literal('transfer-question'), id: z.string(), team: z.string(), wanted: z.number(), address: z.string(), port: z.number(),
-	}),
-	z.object({kind: z.literal('transfer'), id: z.string(), given: z.number()}),
-	z.object({
-		kind: z.literal('grant'), id: z.string(), granted: z.number(), retryAfterMs: z.number(),
-	}),
-	z.object({kind: z.literal('suspicion'), record: suspicionSchema, isSuspected: z.boolean()}),
-]);
-
-type HostMessage = z.infer<typeof messageSchema>;
-
 /** Handlers for the messages of other hosts. */
 export type HostMessageHandlers = {
 	/** Handles a usage report; the report of another domain is relayed to the own domain, unless it has been relayed already. */
@@ -253,7 +193,7 @@
 		},
 		registerHandlers(handlers) {
 			datagrams.registerListener(text => {
-				const message = parseRecord(messageSchema, text);
+				const message = parseRecord(hostMessageSchema, text);
 				switch (message?.kind) {
 					case 'question':
 					case 'confirmation':
@@ -289,10 +229,6 @@
 	};
 }
 
-type RequestMessage = Extract<HostMessage, {readonly kind: 'question' | 'confirmation' | 'grant-question' | 'transfer-question'}>;
-type ResponseMessage = Extract<HostMessage, {readonly kind: 'answer' | 'confirmed' | 'grant' | 'transfer'}>;
-type NotificationMessage = Exclude<HostMessage, RequestMessage | ResponseMessage | {readonly kind: 'introduction'}>;
-
 async function createResponse(request: RequestMessage, handlers: HostMessageHandlers): Promise<ResponseMessage> {
 	if (request.kind === 'grant-question') {
 		return {kind: 'grant', id: request.id, ...await handlers.decideGrant(request.team, request.wanted)};
--- a/packages/heatherpond-fleet/src/host-registration.ts
+++ b/packages/heatherpond-fleet/src/host-registration.ts
@@ -12,8 +12,9 @@
 import type {FleetServices} from './fleet-services.js';
 import {registerSuspensionListener} from './fleet-state.js';
 import {applyRemoteDomainHosts, applyHostContacts, readHosts} from './host-list.js';
-import type {RegisteredIncarnation, RegistrationUpdate} from './host-messages.js';
+import type {RegisteredIncarnation, RegistrationUpdate} from './host-message.js';
 import {REGISTRATION_MS} from './promotion-decisions.js';
+import {createPeerRecord, findExpiredHosts, findPeersToRegister} from './registration-decisions.js';
 import {StoreError, type TablePage} from './store-port.js';
 import type {ReceivedReport} from './domain-peers.js';
 
@@ -64,8 +65,6 @@
 const STORE_TIMEOUT_MS = 900;
 /** Maximum number of hosts of other failure domains in one notification. */
 const REMOTE_HOSTS_PER_MESSAGE = 20;
-/** Milliseconds of the store's clock for which the row of a host that no longer refreshes its registration is retained. */
-const EXPIRED_ROW_RETENTION_MS = 60_000;
 /** Maximum numbers of hosts registered, and of expired rows removed, in one transaction; the store accepts 100 entries, two for each registration. */
 const MAX_REGISTERED_PER_TRANSACTION = 40;
 const MAX_REMOVED_PER_TRANSACTION = 15;
@@ -200,11 +199,11 @@
 		const own: HostRecord = {
 			host, incarnation, domain, address, port, refreshedAt: Math.floor(sentAt + offset),
 		};
-		const peers = findDomainLeader() === undefined ? findPeersToRegister(registration, hosts, offset) : [];
+		const peers = findDomainLeader() === undefined ? findPeersToRegister(registration.readReceivedReports(), hosts, offset) : [];
 		blackboard.update(state => page ? {...state, hosts} : state);
 		const isOwnWritten = await writeRegistrations(registration, {
 			records: [own, ...peers.slice(0, MAX_REGISTERED_PER_TRANSACTION - 1).map(heard => createPeerRecord(heard, offset))],
-			removed: findExpiredHosts(registration, hosts, sentAt + offset),
+			removed: findExpiredHosts(hosts, host, sentAt + offset).slice(0, MAX_REMOVED_PER_TRANSACTION),
 		});
 		if (!isOwnWritten) {
 			return false;
@@ -263,20 +262,6 @@
 	}
 }
 
-function createPeerRecord({report: {host, incarnation, domain, address, port}, receivedAt}: ReceivedReport, offset: number): HostRecord {
-	return {
-		host, incarnation, domain, address, port, refreshedAt: Math.floor(receivedAt + offset),
-	};
-}
-
-/** Finds hosts whose registration expired long ago. */
-function findExpiredHosts({services: {identity}}: Registration, hosts: ReadonlyMap<string, HostRecord>, storeNow: number): readonly string[] {
-	return [...hosts.values()]
-		.filter(({host, refreshedAt}) => refreshedAt + EXPIRED_ROW_RETENTION_MS < storeNow && host !== identity.host)
-		.map(({host}) => host)
-		.slice(0, MAX_REMOVED_PER_TRANSACTION);
-}
-
 /** A host that the domain leader registers does not know the current row versions and reads the list before each refresh. */
 function isListDue({services: {clock, blackboard}, findDomainLeader, refreshes, listReadAt}: Registration): boolean {
 	const {hosts, primacyVerifiedAt} = blackboard.read();
@@ -293,14 +278,6 @@
 	return page;
 }
 
-/** Finds the domain peers whose reports prove that they run, unless a later incarnation of them is registered. */
-function findPeersToRegister({readReceivedReports}: Registration, hosts: ReadonlyMap<string, HostRecord>, offset: number): readonly ReceivedReport[] {
-	return readReceivedReports().filter(({report, receivedAt}) => {
-		const known = hosts.get(report.host);
-		return !known || known.incarnation === report.incarnation || receivedAt - report.runningMs + offset > known.refreshedAt;
-	});
-}
-
 /** Selects the next hosts of other failure domains in rotation, so that notifications cover all of them over time. */
 function selectRemoteHosts(registration: Registration, hosts: ReadonlyMap<string, HostRecord>): HostRecord[] {
 	const remoteHosts = [...hosts.values()].filter(({domain}) => domain !== registration.services.identity.domain);
--- /dev/null
+++ b/packages/heatherpond-fleet/src/initial-primaries.ts
@@ -0,0 +1,34 @@
+/** Records the first primary of a group: the database that reports itself as primary. */
+import {FLEET_TABLE, PRIMACY_PREFIX, type PrimacyRecord} from './fleet-records.js';
+import type {FleetServices} from './fleet-services.js';
+import type {FleetState} from './fleet-state.js';
+import type {Upstream} from './upstream.js';
+
+const STORE_TIMEOUT_MS = 600;
+const STATUS_TIMEOUT_MS = 400;
+
+/** Finds the databases that are registered as primaries of groups without a record. */
+export function findUnrecordedPrimaries({upstreams, primacies}: FleetState): readonly Upstream[] {
+	return [...upstreams.values()].filter(({group, claimsPrimary, isLeaving}) => claimsPrimary && !isLeaving && !primacies.has(group));
+}
+
+/** Records a database as the primary of its group, if it confirms its role and no other host has recorded one; failures are logged. */
+export async function writeInitialPrimary({clock, databases, store, blackboard, refreshFleet, writeEvent}: FleetServices, upstream: Upstream): Promise<void> {
+	const {group, id} = upstream;
+	try {
+		const status = await databases.requestStatus(upstream, clock.readNow() + STATUS_TIMEOUT_MS);
+		if (!status.isPrimary || blackboard.read().primacies.has(group)) {
+			return;
+		}
+
+		const record: PrimacyRecord = {group, term: status.term, primary: id};
+		const row = {table: FLEET_TABLE, key: `${PRIMACY_PREFIX}${group}`};
+		const result = await store.writeRows({expected: [{...row, version: 0}], puts: [{...row, value: JSON.stringify(record)}], removed: []}, clock.readNow() + STORE_TIMEOUT_MS);
+		writeEvent('first_primary', {
+			group, database: id, term: status.term, outcome: result.kind,
+		});
+		refreshFleet();
+	} catch (error) {
+		writeEvent('first_primary_failed', {group, database: id, reason: String(error)});
+	}
+}
--- a/packages/heatherpond-fleet/src/promotion-controller.ts
+++ b/packages/heatherpond-fleet/src/promotion-controller.ts
@@ -9,6 +9,7 @@
 } from './fleet-records.js';
 import type {FleetServices, HostIdentity} from './fleet-services.js';
 import type {FleetState, Versioned} from './fleet-state.js';
+import {findUnrecordedPrimaries, writeInitialPrimary} from './initial-primaries.js';
 import {decidePromotionCause, findLiveHosts, type PromotionCause} from './promotion-decisions.js';
 import {runPromotion} from './promotion-run.js';
 import {StoreError, type StoreTransaction} from './store-port.js';
@@ -41,7 +42,6 @@
 /** Milliseconds between steps while a promotion is in progress or may become due. */
 const ACTIVE_STEP_INTERVAL_MS = 50;
 const STORE_TIMEOUT_MS = 600;
-const STATUS_TIMEOUT_MS = 400;
 /** Maximum random delay in milliseconds before a host acts on a condition that all hosts observe. */
 const JITTER_MS = 120;
 /** Additional delay in milliseconds of hosts that are not preferred. */
@@ -290,38 +290,20 @@
 	return state.duty?.record.fence === fence ? readPromotionLeaseDeadline(state, identity) : Number.NEGATIVE_INFINITY;
 }
 
-/** Records the initial primary of a group that has no record, after the database has reported itself as primary. */
+/** Records the initial primary of a group that has no record; hosts that are not preferred leave it to the preferred ones for a while. */
 async function writeInitialPrimaries(controller: Controller, state: FleetState): Promise<void> {
 	const {services, isPreferred} = controller;
-	const {clock, databases, store, random, writeEvent} = services;
-	const unknown = [...state.upstreams.values()].filter(({group, claimsPrimary, isLeaving}) => claimsPrimary && !isLeaving && !state.primacies.has(group));
-	controller.unrecordedSince = unknown.length === 0 ? Number.POSITIVE_INFINITY : Math.min(controller.unrecordedSince, clock.readNow());
+	const {clock, random, blackboard} = services;
+	const unrecorded = findUnrecordedPrimaries(state);
+	controller.unrecordedSince = unrecorded.length === 0 ? Number.POSITIVE_INFINITY : Math.min(controller.unrecordedSince, clock.readNow());
 	const isOwnTurn = isPreferred() || clock.readNow() >= controller.unrecordedSince + NON_PREFERRED_RECORD_DELAY_MS;
-	if (unknown.length === 0 || !Number.isFinite(state.primacyVerifiedAt) || !isOwnTurn) {
+	if (unrecorded.length === 0 || !Number.isFinite(state.primacyVerifiedAt) || !isOwnTurn) {
 		return;
 	}
 
 	await waitForJitter(controller);
-	const upstream = unknown[Math.floor(random() * unknown.length)]!;
-	if (services.blackboard.read().primacies.has(upstream.group)) {
-		return;
-	}
-
-	try {
-		const status = await databases.requestStatus(upstream, clock.readNow() + STATUS_TIMEOUT_MS);
-		if (!status.isPrimary || services.blackboard.read().primacies.has(upstream.group)) {
-			return;
-		}
-
-		const record: PrimacyRecord = {group: upstream.group, term: status.term, primary: upstream.id};
-		const key = `${PRIMACY_PREFIX}${upstream.group}`;
-		const row = {table: FLEET_TABLE, key};
-		const result = await store.writeRows({expected: [{...row, version: 0}], puts: [{...row, value: JSON.stringify(record)}], removed: []}, clock.readNow() + STORE_TIMEOUT_MS);
-		writeEvent('first_primary', {
-			group: upstream.group, database: upstream.id, term: status.term, outcome: result.kind,
-		});
-		services.refreshFleet();
-	} catch (error) {
-		writeEvent('first_primary_failed', {group: upstream.group, database: upstream.id, reason: String(error)});
+	const upstream = unrecorded[Math.floor(random() * unrecorded.length)]!;
+	if (!blackboard.read().primacies.has(upstream.group)) {
+		await writeInitialPrimary(services, upstream);
 	}
 }
--- a/packages/heatherpond-fleet/src/team-limits.ts
+++ b/packages/heatherpond-fleet/src/team-limits.ts
@@ -8,14 +8,15 @@
  * other leaders for tokens before it refuses. The giver deducts what it gives, so a lost message destroys tokens and never
  * creates any.
  */
-import type {Clock, Deadline, Instant} from 'heatherpond-core';
+import type {Deadline, Instant} from 'heatherpond-core';
 import type {AdmissionPort, WriteEvent} from 'heatherpond-session';
 import type {FleetBlackboard} from './fleet-state.js';
-import type {HostContact} from './host-messages.js';
+import type {HostContact} from './host-message.js';
 import {recordOperation, readDemand, type DemandRate} from './demand-rate.js';
 import {
 	applyRefill, recordReportedDemand, createTokenBucket, insertTokens, takeTokens, takeTokensForTransfer, readLimitShare, type OtherDomains, type TeamLimit, type TokenBucket,
 } from './token-bucket.js';
+import {createTokenTransfers, type TokenTransferOptions} from './token-transfers.js';
 
 /** Response of the domain leader: operations granted or, when there are none, the delay before a retry. */
 export type Grant = {readonly granted: number; readonly retryAfterMs: number};
@@ -44,17 +45,12 @@
 };
 
 /** Dependencies of the limits. */
-export type TeamLimitsOptions = {
-	readonly clock: Clock;
+export type TeamLimitsOptions = TokenTransferOptions & {
 	readonly blackboard: FleetBlackboard;
 	readonly readUsage: (team: string) => TeamUsage;
 	/** Finds the domain leader; nothing when this host is the leader. */
 	readonly findDomainLeader: () => HostContact | undefined;
 	readonly requestGrant: RequestGrant;
-	/** Reads the leaders of the other domains, those with the least demand of the team first. */
-	readonly readOtherLeaders: (team: string) => readonly HostContact[];
-	/** Requests tokens from the leader of another domain; resolves to how many it gave, none if it does not respond by the deadline. */
-	readonly requestTransfer: (host: HostContact, request: {readonly team: string; readonly wanted: number}, deadline: Deadline) => Promise<number>;
 	readonly writeEvent: WriteEvent;
 };
 
@@ -64,12 +60,6 @@
 const GRANT_TIMEOUT_MS = 150;
 /** Time for which a domain leader that has not responded is not asked again, in milliseconds. */
 const LEADER_BACKOFF_MS = 400;
-/** Time within which the leaders of other domains must respond, in milliseconds. */
-const TRANSFER_TIMEOUT_MS = 120;
-/** Number of domains that are asked for tokens at once; what they give beyond the missing part is lost when the bucket is full. */
-const DOMAINS_ASKED_AT_ONCE = 2;
-/** Time for which the other domains are not asked again after none of them had tokens left, in milliseconds. */
-const TRANSFER_BACKOFF_MS = 300;
 /** Size of one request to the leader: the demand of this many seconds, and at most this many operations. */
 const REQUESTED_DEMAND_S = 0.25;
 const MAX_REQUESTED = 8;
@@ -87,10 +77,7 @@
 	const ownBuckets = new Map<string, TokenBucket>();
 	const demands = new Map<string, DemandRate>();
 	const unusedGrants = new Map<string, UnusedGrant>();
-	/** Requests for tokens of other domains in progress, by team. */
-	const transfers = new Map<string, Promise<void>>();
-	/** By team: until when the other domains are not asked, because none of them had tokens left. */
-	const transferBackoffUntil = new Map<string, Instant>();
+	const transfers = createTokenTransfers(options);
 	let leaderBackoffUntil: Instant = Number.NEGATIVE_INFINITY;
 
 	function findLimit(team: string): TeamLimit | undefined {
@@ -129,7 +116,12 @@
 	async function takeFromDomain(team: string, wanted: number): Promise<Grant> {
 		const limit = findLimit(team);
 		if (limit && !hasTokens(team, limit)) {
-			await acquireFromOtherDomains(team, limit);
+			await transfers.acquireToken(team, {
+				countTokens: () => findDomainBucket(team, limit).tokens,
+				insertTokens(tokens) {
+					domainBuckets.set(team, insertTokens(findDomainBucket(team, limit), tokens));
+				},
+			});
 		}
 
 		return takeFromBucket(domainBuckets, team, {wanted, part: 1});
@@ -148,43 +140,6 @@
 		return bucket.tokens >= 1;
 	}
 
-	/** Operations that find the bucket empty at the same time share one request. */
-	async function acquireFromOtherDomains(team: string, limit: TeamLimit): Promise<void> {
-		const running = transfers.get(team);
-		if (running) {
-			await running;
-			return;
-		}
-
-		if (clock.readNow() < (transferBackoffUntil.get(team) ?? Number.NEGATIVE_INFINITY)) {
-			return;
-		}
-
-		const transfer = acquireTransfers(team, limit).finally(() => {
-			transfers.delete(team);
-		});
-		transfers.set(team, transfer);
-		await transfer;
-	}
-
-	/** Requests the missing tokens from two domains at a time, those with the least demand first, until one operation can be admitted. */
-	async function acquireTransfers(team: string, limit: TeamLimit): Promise<void> {
-		const deadline = clock.readNow() + TRANSFER_TIMEOUT_MS;
-		const leaders = options.readOtherLeaders(team);
-		let next = 0;
-		while (next < leaders.length && clock.readNow() < deadline && !hasTokens(team, limit)) {
-			const missing = 1 - findDomainBucket(team, limit).tokens;
-			const given = await Promise.all(leaders.slice(next, next + DOMAINS_ASKED_AT_ONCE).map(async leader => options.requestTransfer(leader, {team, wanted: missing}, deadline)));
-			const tokens = given.reduce((sum, count) => sum + count, 0);
-			domainBuckets.set(team, insertTokens(findDomainBucket(team, limit), tokens));
-			next += DOMAINS_ASKED_AT_ONCE;
-		}
-
-		if (!hasTokens(team, limit)) {
-			transferBackoffUntil.set(team, clock.readNow() + TRANSFER_BACKOFF_MS);
-		}
-	}
-
 	function decideTransfer(team: string, wanted: number): number {
 		const limit = findLimit(team);
 		// A host that is no longer the leader must not create a bucket: its tokens would come on top of the leader's.
--- a/packages/heatherpond-fleet/src/usage-exchange.ts
+++ b/packages/heatherpond-fleet/src/usage-exchange.ts
@@ -10,7 +10,8 @@
 } from './domain-peers.js';
 import type {FleetServices} from './fleet-services.js';
 import {registerSuspensionListener} from './fleet-state.js';
-import type {HostContact, HostMessages, RegisteredIncarnation} from './host-messages.js';
+import type {HostContact, RegisteredIncarnation} from './host-message.js';
+import type {HostMessages} from './host-messages.js';
 import {countTeamDemand, createDatabaseUsageCache, computeTotalUsage} from './remote-usage.js';
 import type {TeamUsage} from './team-limits.js';
 import type {DomainDigest, DomainUsage, UsageReport} from './usage-report.js';
