--- a/packages/heatherpond-fleet/src/domain-leader.ts
+++ b/packages/heatherpond-fleet/src/domain-leader.ts
@@ -1,8 +1,8 @@
 /**
  * Elects one host of each failure domain, the domain leader; the other hosts of the domain request changes of the store from
- * it, and the leaders from the leader of the first domain by name, which reads the store. A wrong choice costs an additional call to the store but is always safe: a relayed page carries its age,
- * measured from before the leader sent its request to the store, and the receiver subtracts it from the time of its own
- * request.
+ * it, and the leaders from the leader of the first domain by name, which reads the store. A wrong choice costs an additional
+ * call to the store but is always safe: a relayed page carries its age, measured from before the leader sent its request to
+ * the store, and the receiver subtracts it from the time of its own request.
  */
 import type {Clock, Deadline, Instant} from 'heatherpond-core';
 import type {HostContact} from './host-message.js';
@@ -32,9 +32,9 @@
 	readonly requestChanges: RequestChanges;
 };
 
-/** Milliseconds within which the domain leader must respond before the store is read instead. */
+/** Milliseconds within which another host must respond before the next one, or the store, is asked. */
 const PEER_TIMEOUT_MS = 120;
-/** Milliseconds within which the domain leader must respond to a request for a whole table, which may be long. */
+/** Milliseconds within which another host must respond to a request for a whole table, which may be long. */
 const PEER_TABLE_TIMEOUT_MS = 400;
 /** Milliseconds for which a host that did not respond is not asked again. */
 const SILENT_HOST_BACKOFF_MS = 1000;
@@ -44,7 +44,7 @@
 /** Another host of the same failure domain, and when it started. */
 export type DomainPeer = HostContact & {readonly startedAt: Instant};
 
-/** Finds the domain leader, which reads the store and decides on limits for the others; nothing when this host is the leader. */
+/** Finds the domain leader, which reads tables and decides on limits for the others; nothing when this host is the leader. */
 export type FindDomainLeader = () => HostContact | undefined;
 
 /** Minimum uptime in milliseconds of a domain leader, unless all hosts of the domain have started recently. */
