Serve within a few round trips after all hosts have restarted

Change: the search ends after 0.15 s; the host that started first leads while all are new; a host tells that a table is too large, and the other one reads the store; clients wait for the registration of a host that has just started; the first lease is read from the store; a link stays open for the work on it. A pool that the database has refused another connection serves its waiters with those that it has.

--- a/packages/heatherpond-fleet/src/__tests__/unit/relay.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/relay.test.ts
@@ -289,4 +289,19 @@
 		await advance(fixture.clock, 20);
 		expect(isClosed).toBe(true);
 	});
+
+	test('keeps the work on a link when this host learns later that the relay has restarted', async () => {
+		const fixture = createFixture();
+		fixture.answerMs = 100;
+		const running = createHandle(fixture).run(createStep(fixture, 'READ 1')).catch((error: unknown) => error);
+		await advance(fixture.clock, 20);
+		const next = fixture.client.createHandle({...RELAY, incarnation: 'run-2'}, 'db', {
+			team: 'team', priority: 1, variables: new Map(), deadline: fixture.clock.readNow() + 1000, signal: new AbortController().signal,
+		});
+		const result = next.run(createStep(fixture, 'READ 2'));
+		expect(fixture.client.isBackingOff('relay')).toBe(false);
+		await advance(fixture.clock, 400);
+		expect(await running).toMatchObject({kind: 'answered'});
+		expect(await result).toMatchObject({kind: 'answered'});
+	});
 });
--- a/packages/heatherpond-fleet/src/domain-leader.ts
+++ b/packages/heatherpond-fleet/src/domain-leader.ts
@@ -4,14 +4,15 @@
  * call to the store but is always safe: a relayed page carries its age, measured from before the leader sent its request to
  * the store, and the receiver subtracts it from the time of its own request.
  */
-import type {Clock, Deadline, Instant} from 'heatherpond-core';
-import type {HostContact} from './host-message.js';
 import {
-	createStoreError, StoreError, type StorePort, type TablePage,
-} from './store-port.js';
+	waitUntil, type Clock, type Deadline, type Instant,
+} from 'heatherpond-core';
+import type {HostContact} from './host-message.js';
+import {StoreError, type StorePort, type TablePage} from './store-port.js';
+import type {CachedChanges} from './table-cache.js';
 
-/** Response of another host to a request for changes: the changes, or that it does not know them; `silent` when it did not respond in time. */
-export type ChangesResponse = {readonly kind: 'page'; readonly page: TablePage} | {readonly kind: 'unknown'} | {readonly kind: 'silent'};
+/** Response of another host to a request for changes; `silent` when it did not respond in time. */
+export type ChangesResponse = CachedChanges | {readonly kind: 'silent'};
 
 /** Requests the changes of a table after a version from another host. */
 export type RequestChanges = (host: HostContact, request: ChangesRequest, deadline: Deadline) => Promise<ChangesResponse>;
@@ -30,6 +31,9 @@
 	/** Reads the leaders of the other domains that have verified what they know recently, in the order of their domains. */
 	readonly readOtherLeaders: () => readonly HostContact[];
 	readonly requestChanges: RequestChanges;
+	/** Whether a table must be read from the store itself, because a relayed page would be too old. */
+	readonly isStoreRequired: (table: string) => boolean;
+	readonly signal: AbortSignal;
 };
 
 /** Milliseconds within which another host must respond before the next one, or the store, is asked. */
@@ -38,8 +42,10 @@
 const PEER_TABLE_TIMEOUT_MS = 400;
 /** Milliseconds for which a host that did not respond is not asked again. */
 const SILENT_HOST_BACKOFF_MS = 1000;
-/** Milliseconds after the start of a host for which it waits until its leader, which may have started at the same time, has read a table. */
-const LEADER_START_MS = 2500;
+/** Milliseconds for which a host that has just started waits until its leader, which may have started at the same time, has read the tables. */
+const LEADER_START_WAIT_MS = 300;
+/** Milliseconds between requests to a leader that has not read a table yet. */
+const LEADER_START_INTERVAL_MS = 40;
 
 /** Another host of the same failure domain, and when it started. */
 export type DomainPeer = HostContact & {readonly startedAt: Instant};
@@ -49,8 +55,8 @@
 
 /** Minimum uptime in milliseconds of a domain leader, unless all hosts of the domain have started recently. */
 const MIN_READER_UPTIME_MS = 2600;
-/** Milliseconds between the starts of hosts that count as simultaneous. */
-const SIMULTANEOUS_START_MS = 1000;
+/** Milliseconds between the starts of hosts that count as simultaneous; a host that started earlier has read the tables first. */
+const SIMULTANEOUS_START_MS = 150;
 
 /** Selects the first host by name among those with sufficient uptime; nothing when that is this host. */
 export function findDomainLeader(own: Pick<DomainPeer, 'host' | 'startedAt'>, peers: readonly DomainPeer[], now: Instant): HostContact | undefined {
@@ -67,8 +73,9 @@
  * Creates a store port that asks other hosts before it calls the store: a host asks the leader of its domain, and the leaders
  * ask one of them. When the store does not respond either, the leaders of other domains are asked, which may still reach it.
  */
-export function createDomainStore({store, clock, domain: ownDomain, findDomainLeader: findLeader, readOtherLeaders, requestChanges}: DomainStoreOptions): StorePort {
-	const startedAt = clock.readNow();
+export function createDomainStore({store, clock, domain: ownDomain, findDomainLeader: findLeader, readOtherLeaders, requestChanges, isStoreRequired, signal}: DomainStoreOptions): StorePort {
+	/** Until when this host waits for a leader that has not read the tables yet; set by the first request. */
+	let leaderWaitUntil: Deadline | undefined;
 	/** By host: until when it is not asked, because it did not respond. */
 	const backoffUntil = new Map<string, Instant>();
 
@@ -89,8 +96,9 @@
 		}
 
 		const response = await readFromHost(host, request);
-		if (response.kind === 'unknown' && host.host === findLeader()?.host && clock.readNow() < startedAt + LEADER_START_MS) {
-			throw createStoreError('domain leader has not read the table yet', 'unavailable');
+		if (response.kind === 'unread' && host.host === findLeader()?.host && clock.readNow() < leaderWaitUntil!) {
+			await waitUntil(clock, clock.readNow() + LEADER_START_INTERVAL_MS, signal);
+			return readFromHosts(findNearerHosts(), request);
 		}
 
 		return response.kind === 'page' ? response.page : readFromHosts(hosts.slice(hosts.indexOf(host) + 1), request);
@@ -108,7 +116,9 @@
 	}
 
 	async function read(request: ChangesRequest, readStore: () => Promise<TablePage>): Promise<TablePage> {
-		const page = await readFromHosts(findNearerHosts(), request);
+		leaderWaitUntil ??= clock.readNow() + LEADER_START_WAIT_MS;
+		const isRequired = isStoreRequired(request.table);
+		const page = isRequired ? undefined : await readFromHosts(findNearerHosts(), request);
 		if (page) {
 			return page;
 		}
@@ -116,7 +126,9 @@
 		try {
 			return await readStore();
 		} catch (error) {
-			const other = error instanceof StoreError && error.failure !== 'history_lost' ? await readFromHosts(readOtherLeaders(), request) : undefined;
+			const other = error instanceof StoreError && error.failure !== 'history_lost'
+				? await readFromHosts([...(isRequired ? findNearerHosts() : []), ...readOtherLeaders()], request)
+				: undefined;
 			if (other) {
 				return other;
 			}
--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -9,7 +9,7 @@
 import type {Contracts} from './contracts.js';
 import type {DatabaseControlPort, PromotionRequestPort} from './database-control-port.js';
 import {checkSuspension, startFollowers, type HostContext} from './fleet-followers.js';
-import type {HostRecord} from './fleet-records.js';
+import {FLEET_TABLE, type HostRecord} from './fleet-records.js';
 import type {FleetServices, HostIdentity} from './fleet-services.js';
 import {
 	applySuspension, EMPTY_FLEET_STATE, type FleetBlackboard, type FleetState,
@@ -78,6 +78,8 @@
 	readonly isReady: () => boolean;
 	/** Waits until the contracts have been read, at most until the deadline. */
 	readonly waitForContracts: (deadline: Deadline) => Promise<void>;
+	/** Waits until a host that has just started is registered and can use primaries, at most until the deadline; returns at once when the start is over. */
+	readonly waitForStart: (deadline: Deadline) => Promise<void>;
 	/** Starts the shutdown: the host accepts no new clients and no longer refreshes its registration. */
 	readonly startShutdown: () => void;
 	/** Closes all connections, announces the departure to the other hosts and removes the registration. */
@@ -88,6 +90,8 @@
 const CONNECT_TIMEOUT_MS = 500;
 /** Milliseconds between maintenance runs: suspension check and refresh of the connection pools. */
 const MAINTENANCE_INTERVAL_MS = 250;
+/** Milliseconds after the start of a host for which clients wait for its registration, which usually follows within a few round trips. */
+const START_MS = 2000;
 /** Idle timeout of a transaction in milliseconds before the contracts have been read. */
 const DEFAULT_IDLE_TRANSACTION_MS = 3000;
 
@@ -95,6 +99,7 @@
 export function startFleetHost(options: FleetHostOptions): FleetHost {
 	const {clock, signal, writeEvent, random, identity, readRegion} = options;
 	const blackboard = createBlackboard<FleetState>(EMPTY_FLEET_STATE);
+	const startedAt = clock.readNow();
 	const usage: {exchange?: UsageExchange} = {};
 	const registrations: {current?: HostRegistration} = {};
 	const messages = createHostMessages({blackboard, clock, identity}, options.datagrams);
@@ -111,7 +116,12 @@
 	});
 	const domainStore = createDomainStore({
 		store: options.store, clock, domain: identity.domain, findDomainLeader, requestChanges: messages.requestChanges,
-		readOtherLeaders: () => usage.exchange?.readVerifiedLeaders() ?? [],
+		readOtherLeaders: () => usage.exchange?.readVerifiedLeaders() ?? [], signal,
+		isStoreRequired(table) {
+			// A lease starts with a verification after the registration; the page of the leader is usually older than that.
+			const {registeredAt, primacyVerifiedAt} = blackboard.read();
+			return table === FLEET_TABLE && Number.isFinite(registeredAt) && primacyVerifiedAt < registeredAt;
+		},
 	});
 	const host: HostContext = {
 		...options, blackboard, followers: [], cache: createTableCache(), findDomainLeader, domainStore, waitUntilDiscovered: discovery.waitUntilDone,
@@ -218,6 +228,11 @@
 		async waitForContracts(deadline) {
 			await waitForState({blackboard, clock}, state => state.contracts !== undefined && Number.isFinite(state.contractsVerifiedAt), deadline, signal);
 		},
+		async waitForStart(deadline) {
+			if (clock.readNow() < startedAt + START_MS) {
+				await waitForState({blackboard, clock}, state => !isRegistrationExpired(state, clock.readNow()), Math.min(deadline, startedAt + START_MS), signal);
+			}
+		},
 		startShutdown() {
 			blackboard.update(state => ({...state, isStopping: true}));
 		},
--- a/packages/heatherpond-fleet/src/host-discovery.ts
+++ b/packages/heatherpond-fleet/src/host-discovery.ts
@@ -40,9 +40,9 @@
 };
 
 /** Milliseconds between two introductions to the seeds. */
-const INTRODUCTION_INTERVAL_MS = 100;
-/** Milliseconds after which the search is given up. */
-const SEARCH_TIMEOUT_MS = 500;
+const INTRODUCTION_INTERVAL_MS = 50;
+/** Milliseconds after which the search is given up: a few round trips between distant failure domains. */
+const SEARCH_TIMEOUT_MS = 150;
 /** Milliseconds for which hosts that have introduced themselves are named to others. */
 const INTRODUCTION_RETENTION_MS = 5000;
 /** Maximum number of hosts named in a response; the first ones by name include the leader of a domain that has just started. */
--- a/packages/heatherpond-fleet/src/host-message.ts
+++ b/packages/heatherpond-fleet/src/host-message.ts
@@ -50,7 +50,9 @@
 	z.object({
 		kind: z.literal('question'), id: z.string(), table: z.string(), after: z.number(), address: z.string(), port: z.number(),
 	}),
-	z.object({kind: z.literal('answer'), id: z.string(), page: z.optional(pageSchema)}),
+	z.object({
+		kind: z.literal('answer'), id: z.string(), page: z.optional(pageSchema), isTooLarge: z.optional(z.boolean()),
+	}),
 	z.object({
 		kind: z.literal('grant-question'), id: z.string(), team: z.string(), wanted: z.number(), address: z.string(), port: z.number(),
 	}),
--- a/packages/heatherpond-fleet/src/host-messages.ts
+++ b/packages/heatherpond-fleet/src/host-messages.ts
@@ -12,7 +12,7 @@
 import type {FleetServices} from './fleet-services.js';
 import type {Versioned} from './fleet-state.js';
 import {REGISTRATION_EXPIRY_MS} from './promotion-decisions.js';
-import type {TablePage} from './store-port.js';
+import type {CachedChanges} from './table-cache.js';
 import type {RequestGrant, Grant, TeamLimitsOptions} from './team-limits.js';
 import type {DomainDigest, UsageReport} from './usage-report.js';
 
@@ -40,8 +40,8 @@
 	readonly handlePrimacy: (primacy: Versioned<PrimacyRecord>) => void;
 	readonly handleConfirmation: (confirmation: ConfirmationRecord) => void;
 	readonly handleSuspicion: (suspicion: SuspicionRecord, isSuspected: boolean) => void;
-	/** Reads the changes of a table since a version for another host; nothing when this host does not know them. */
-	readonly readTableChanges: (table: string, after: number) => TablePage | undefined;
+	/** Reads the changes of a table since a version for another host. */
+	readonly readTableChanges: (table: string, after: number) => CachedChanges;
 	/** Decides how many operations of a team another host of the failure domain may admit. */
 	readonly decideGrant: (team: string, wanted: number) => Promise<Grant>;
 	/** Decides how many tokens of a team the leader of another domain is given. */
@@ -177,7 +177,11 @@
 				return {kind: 'silent'};
 			}
 
-			return response.page ? {kind: 'page', page: response.page} : {kind: 'unknown'};
+			if (response.page) {
+				return {kind: 'page', page: response.page};
+			}
+
+			return {kind: response.isTooLarge === true ? 'too_large' : 'unread'};
 		},
 		async requestGrant(receiver, {team, wanted}, deadline) {
 			const response = await sendRequest(receiver, id => ({
@@ -243,8 +247,10 @@
 		return {kind: 'confirmed', id: request.id};
 	}
 
-	const page = handlers.readTableChanges(request.table, request.after);
-	return {kind: 'answer', id: request.id, page: page && {...page, rows: [...page.rows]}};
+	const changes = handlers.readTableChanges(request.table, request.after);
+	return changes.kind === 'page'
+		? {kind: 'answer', id: request.id, page: {...changes.page, rows: [...changes.page.rows]}}
+		: {kind: 'answer', id: request.id, isTooLarge: changes.kind === 'too_large'};
 }
 
 function handleNotification(message: NotificationMessage | undefined, handlers: HostMessageHandlers): void {
--- a/packages/heatherpond-fleet/src/relay-client.ts
+++ b/packages/heatherpond-fleet/src/relay-client.ts
@@ -31,6 +31,8 @@
 const PING_TIMEOUT_MS = 250;
 /** Time since the last message from a relay after which its link is pinged before a non-repeatable step is sent, in milliseconds. */
 const MAX_UNCHECKED_IDLE_MS = 500;
+/** Time for which a link that is no longer used for new work stays open, so that the work on it can end, in milliseconds. */
+const RETIREMENT_MS = 4000;
 /** Time beyond the deadline of a step for which its response is awaited, in milliseconds. */
 const DEADLINE_GRACE_MS = 60;
 
@@ -60,8 +62,11 @@
 		}
 
 		relayLink.isClosed = true;
-		linksByHost.delete(relayLink.relay.host);
-		backoffUntil.set(relayLink.relay.host, clock.readNow() + BACKOFF_MS);
+		if (linksByHost.get(relayLink.relay.host) === relayLink) {
+			linksByHost.delete(relayLink.relay.host);
+			backoffUntil.set(relayLink.relay.host, clock.readNow() + BACKOFF_MS);
+		}
+
 		writeEvent('relay_lost', {relay: relayLink.relay.host, reason, waiting: relayLink.waiting.size});
 		relayLink.link.destroy();
 		[...relayLink.waiting.values()].forEach(({reject}) => {
@@ -102,6 +107,18 @@
 		}
 	}
 
+	/**
+	 * Stops using a link for new work. The link may have been opened to the new incarnation of the relay before this host
+	 * learned of the restart, so the work on it goes on; a link to the old incarnation is closed by its peer or by a ping.
+	 */
+	function stopUsingLink(relayLink: RelayLink): void {
+		linksByHost.delete(relayLink.relay.host);
+		const stopTimer = clock.registerTimer(clock.readNow() + RETIREMENT_MS, () => {
+			closeLink(relayLink, 'relay restarted');
+		});
+		relayLink.link.registerCloseListener(stopTimer);
+	}
+
 	function findLink(relay: HostRecord): RelayLink {
 		const known = linksByHost.get(relay.host);
 		if (known?.relay.incarnation === relay.incarnation) {
@@ -109,7 +126,7 @@
 		}
 
 		if (known) {
-			closeLink(known, 'relay restarted');
+			stopUsingLink(known);
 		}
 
 		const relayLink: RelayLink = {
--- a/packages/heatherpond-fleet/src/table-cache.ts
+++ b/packages/heatherpond-fleet/src/table-cache.ts
@@ -7,12 +7,20 @@
 export type TableCache = {
 	/** Replaces the table by a snapshot, or merges changes into it. */
 	readonly applyUpdate: (table: string, update: TableUpdate) => void;
-	/** Reads the changes after a version, or the whole table after version 0, with their age; nothing when they are unknown, too old or too large. */
-	readonly readChanges: (table: string, after: number, now: Instant) => TablePage | undefined;
+	/** Reads the changes after a version, or the whole table after version 0, with their age. */
+	readonly readChanges: (table: string, after: number, now: Instant) => CachedChanges;
 	/** Discards all tables, after a suspension that the clock did not measure. */
 	readonly clear: () => void;
 };
 
+/** Changes of a table as far as the cache can provide them. */
+export type CachedChanges
+	= | {readonly kind: 'page'; readonly page: TablePage}
+	/** The cache has not read the table recently, or not since the requested version. */
+		| {readonly kind: 'unread'}
+	/** The changes exceed the size of a response; only the store can provide them. */
+		| {readonly kind: 'too_large'};
+
 type CachedTable = {
 	rows: ReadonlyMap<string, RowChange>;
 	/** Version of the snapshot; all changes after it are known. */
@@ -49,16 +57,20 @@
 		readChanges(table, after, now) {
 			const known = tables.get(table);
 			if (!known || (after > 0 && after < known.baseVersion) || now - known.verifiedAt > MAX_AGE_MS) {
-				return undefined;
+				return {kind: 'unread'};
 			}
 
 			const rows = [...known.rows.values()].filter(row => after === 0 ? row.value !== undefined : row.version > after);
 			const characters = rows.reduce((sum, {value}) => sum + (value?.length ?? 0), 0);
-			return characters > MAX_RESPONSE_CHARACTERS
-				? undefined
-				: {
+			if (characters > MAX_RESPONSE_CHARACTERS) {
+				return {kind: 'too_large'};
+			}
+
+			return {
+				kind: 'page', page: {
 					rows, version: known.version, storeNow: now + known.storeClockOffset, ageMs: now - known.verifiedAt,
-				};
+				},
+			};
 		},
 		clear() {
 			tables.clear();
--- a/packages/heatherpond-session/src/__tests__/unit/connection-pool.test.ts
+++ b/packages/heatherpond-session/src/__tests__/unit/connection-pool.test.ts
@@ -143,6 +143,23 @@
 		expect(fixture.opened).toHaveLength(2);
 	});
 
+	test('serves other teams with the accepted connections after the database rejected another one', async () => {
+		const fixture = createFixture(3);
+		const loan = await acquire(fixture, 'a');
+		fixture.isAtConnectionLimit = true;
+		const wait = fixture.pool.acquire(createRequest('b'));
+		fixture.clock.registerTimer(fixture.clock.readNow() + CONNECTION_OPEN_MS + 1, () => {
+			fixture.isAtConnectionLimit = false;
+		});
+		fixture.clock.registerTimer(fixture.clock.readNow() + 100, () => {
+			loan.release(true);
+		});
+		const second = await runUntilSettled(fixture.clock, wait);
+		expect(second.team).toBe('b');
+		expect(fixture.opened).toEqual(['a', 'b', 'b']);
+		expect(fixture.pool.countOpen()).toBe(1);
+	});
+
 	test('rejects a waiting request at its deadline and when it is aborted', async () => {
 		const fixture = createFixture(1);
 		await acquire(fixture, 'a');
--- a/packages/heatherpond-session/src/connection-pool.ts
+++ b/packages/heatherpond-session/src/connection-pool.ts
@@ -63,6 +63,8 @@
 const REUSE_WAIT_MS = 20;
 /** Minimum backoff, in milliseconds, after the database rejected a connection over its limit; up to the same time is added at random. */
 const LIMIT_BACKOFF_MS = 80;
+/** Milliseconds for which the number of connections that were open at such a rejection counts as the limit of the pool. */
+const LEARNED_LIMIT_MS = 1000;
 
 /** Creates an empty pool. */
 export function createConnectionPool({clock, open, readMaxConnections, isDraining, random}: ConnectionPoolOptions): ConnectionPool {
@@ -72,6 +74,8 @@
 	let openCount = 0;
 	let inUseCount = 0;
 	let limitBackoffUntil: Instant = 0;
+	/** The number of connections that the database accepted when it last rejected one, and until when it counts. */
+	let learned: {readonly limit: number; readonly until: Instant} = {limit: 0, until: 0};
 	let stopOpeningTimer: Teardown = () => undefined;
 	const inUseByTeam = new Map<string, number>();
 	/** Number of connections being opened, by team. */
@@ -136,24 +140,33 @@
 		} catch (error) {
 			updateOpening(team, -1);
 			openCount--;
-			if (error instanceof UpstreamError && error.failure === 'too_many') {
+			const isAtLimit = error instanceof UpstreamError && error.failure === 'too_many';
+			if (isAtLimit) {
 				limitBackoffUntil = clock.readNow() + (LIMIT_BACKOFF_MS * (1 + random()));
+				learned = {limit: openCount, until: clock.readNow() + LEARNED_LIMIT_MS};
+			}
+
+			if (!isAtLimit || openCount === 0) {
+				takeWaiter(team)?.reject(error);
 			}
 
-			takeWaiter(team)?.reject(error);
 			openForWaiters();
 		}
 	}
 
+	function readLimit(): number {
+		return clock.readNow() < learned.until ? Math.max(1, Math.min(readMaxConnections(), learned.limit)) : readMaxConnections();
+	}
+
 	/** Closes the longest-idle connection if the pool is at its limit; returns whether another connection may be opened now. */
 	function closeIdleAtLimit(): boolean {
-		if (openCount < readMaxConnections()) {
+		if (openCount < readLimit()) {
 			return true;
 		}
 
 		// The close listener removes the connection from `idle` and decrements `openCount`.
 		idle.at(0)?.upstream.destroy();
-		return openCount < readMaxConnections();
+		return openCount < readLimit();
 	}
 
 	function openForWaiters(): void {
