Keep promises when the store comes back from an older copy

Cause: nothing read the era of the store. After versions had gone back, a host kept records that the store no longer had, its conditional writes could match rows that it had not read, a fencing token could be given out twice, and a restored record of a replaced primary was trusted.

Change: versions carry the era (store-version.ts, versioned-store.ts); registrations and leases are void in a new era; a record of a primary counts only in the era in which it was written or affirmed, by a host whose lease proves it or by asking the databases (store-restore.ts, record-affirmations.ts); the holder of a promotion reads its rows right before the request; tokens of a later era are higher; contracts are verified one second after the restore was seen.

--- a/packages/heatherpond-fleet/src/__tests__/unit/domain-leader.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/domain-leader.test.ts
@@ -98,7 +98,7 @@
 			},
 		}, {kind: 'silent'}];
 		const port = createDomainStore({
-			store: store.createPort('host-2'), clock, domain: 'd', readOtherLeaders: () => [], findDomainLeader: () => createPeer('host-1'), requestChanges: async () => responses.shift()!, isStoreRequired: () => false, signal: new AbortController().signal,
+			store: store.createPort('host-2'), clock, domain: 'd', readOtherLeaders: () => [], findDomainLeader: () => createPeer('host-1'), requestChanges: async () => responses.shift()!, isOutdated: () => false, isStoreRequired: () => false, signal: new AbortController().signal,
 		});
 		expect(await port.readChanges('t', 1, 1000)).toMatchObject({version: 9, ageMs: 300});
 		const direct = port.readChanges('t', 1, 1000);
@@ -121,7 +121,7 @@
 				requests++;
 				return {kind: 'unread'};
 			},
-			isStoreRequired: () => false, signal: new AbortController().signal,
+			isOutdated: () => false, isStoreRequired: () => false, signal: new AbortController().signal,
 		});
 		const first = port.readTable('t', 1000);
 		await advance(clock, 250);
--- a/packages/heatherpond-fleet/src/domain-leader.ts
+++ b/packages/heatherpond-fleet/src/domain-leader.ts
@@ -31,6 +31,8 @@
 	/** Reads the leaders of the other domains that have verified what they know recently, in the order of their domains. */
 	readonly readOtherLeaders: () => readonly HostContact[];
 	readonly requestChanges: RequestChanges;
+	/** Whether a page is of an earlier era of the store than one that this host has seen. */
+	readonly isOutdated: (version: number) => boolean;
 	/** Whether a table must be read from the store itself, because a relayed page would be too old. */
 	readonly isStoreRequired: (table: string) => boolean;
 	readonly signal: AbortSignal;
@@ -73,7 +75,7 @@
  * Creates a store port that asks other hosts before it calls the store: a host asks the leader of its domain, and the leaders
  * ask one of them. When the store does not respond either, the leaders of other domains are asked, which may still reach it.
  */
-export function createDomainStore({store, clock, domain: ownDomain, findDomainLeader: findLeader, readOtherLeaders, requestChanges, isStoreRequired, signal}: DomainStoreOptions): StorePort {
+export function createDomainStore({store, clock, domain: ownDomain, findDomainLeader: findLeader, readOtherLeaders, requestChanges, isOutdated, isStoreRequired, signal}: DomainStoreOptions): StorePort {
 	/** Until when this host waits for a leader that has not read the tables yet; set by the first request. */
 	let leaderWaitUntil: Deadline | undefined;
 	/** By host: until when it is not asked, because it did not respond. */
@@ -81,6 +83,10 @@
 
 	async function readFromHost(host: HostContact, request: ChangesRequest): Promise<ChangesResponse> {
 		const response = await requestChanges(host, request, clock.readNow() + (request.after === 0 ? PEER_TABLE_TIMEOUT_MS : PEER_TIMEOUT_MS));
+		if (response.kind === 'page' && isOutdated(response.page.version)) {
+			return {kind: 'unread'};
+		}
+
 		if (response.kind === 'silent') {
 			backoffUntil.set(host.host, clock.readNow() + SILENT_HOST_BACKOFF_MS);
 		}
--- a/packages/heatherpond-fleet/src/fleet-followers.ts
+++ b/packages/heatherpond-fleet/src/fleet-followers.ts
@@ -6,6 +6,8 @@
 import {FLEET_TABLE} from './fleet-records.js';
 import {applySuspension, type FleetBlackboard} from './fleet-state.js';
 import type {StorePort} from './store-port.js';
+import {applyStoreEra, CONTRACTS_SETTLE_MS, isOutdated} from './store-restore.js';
+import {readEra} from './store-version.js';
 import type {TableCache} from './table-cache.js';
 import {startTableFollower, type TableFollower, type TableUpdate} from './table-follower.js';
 
@@ -79,6 +81,10 @@
 		store: domainStore, clock, table, readIntervalMs, random, signal, waitUntilStart: waitUntilDiscovered,
 		applyUpdate(update) {
 			checkSuspension(host);
+			if (!checkStoreEra(host, update.page.version)) {
+				return;
+			}
+
 			cache.applyUpdate(table, update);
 			if (isFailing) {
 				isFailing = false;
@@ -111,10 +117,35 @@
 			writeEvent('contracts_in_force', {version: parsed.version, routes: parsed.routes.size, teams: parsed.teams.size});
 		}
 
-		return {...state, contracts: isNewer ? parsed : state.contracts, contractsVerifiedAt: Math.max(state.contractsVerifiedAt, requestedAt)};
+		// After a restore, the row may be an old one until the operator has written it again.
+		const isSettled = requestedAt >= state.restoredAt + CONTRACTS_SETTLE_MS;
+		return {...state, contracts: isNewer ? parsed : state.contracts, contractsVerifiedAt: isSettled ? Math.max(state.contractsVerifiedAt, requestedAt) : state.contractsVerifiedAt};
 	});
 }
 
+/**
+ * Applies the era of a response or message of another host. Returns whether its content may be used; content of an earlier
+ * era may not.
+ */
+export function checkStoreEra({blackboard, clock, cache, followers, writeEvent}: Pick<HostContext, 'blackboard' | 'clock' | 'cache' | 'followers' | 'writeEvent'>, version: number): boolean {
+	const before = blackboard.read().storeEra;
+	const era = readEra(version);
+	if (isOutdated(blackboard.read(), version)) {
+		return false;
+	}
+
+	blackboard.update(state => applyStoreEra(state, era, clock.readNow()));
+	if (before !== undefined && era > before) {
+		writeEvent('store_restored', {era, previous: before, retained: [...blackboard.read().retainedPrimaries.keys()].join(',')});
+		cache.clear();
+		followers.forEach(follower => {
+			follower.refresh();
+		});
+	}
+
+	return true;
+}
+
 /**
  * Invalidates all verifications after the machine was suspended, because the monotonic clock does not advance during a
  * suspension and the age of earlier verifications is therefore unknown.
--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -30,6 +30,7 @@
 import {createRelayClient} from './relay-client.js';
 import {startRelayServer} from './relay-server.js';
 import type {RowChange, StorePort} from './store-port.js';
+import {isOutdated} from './store-restore.js';
 import type {SuspensionDetector} from './suspension-detector.js';
 import {createTableCache} from './table-cache.js';
 import {createTeamLimits} from './team-limits.js';
@@ -117,6 +118,7 @@
 	const domainStore = createDomainStore({
 		store: options.store, clock, domain: identity.domain, findDomainLeader, requestChanges: messages.requestChanges,
 		readOtherLeaders: () => usage.exchange?.readVerifiedLeaders() ?? [], signal,
+		isOutdated: version => isOutdated(blackboard.read(), version),
 		isStoreRequired(table) {
 			// A lease starts with a verification after the registration; the page of the leader is usually older than that.
 			const {registeredAt, primacyVerifiedAt} = blackboard.read();
--- a/packages/heatherpond-fleet/src/fleet-message-handlers.ts
+++ b/packages/heatherpond-fleet/src/fleet-message-handlers.ts
@@ -1,10 +1,11 @@
 /** Handlers for the messages of other hosts. */
 import {applyConfirmation, applyPrimacy, applySuspicion} from './apply-fleet-update.js';
-import {checkSuspension, type HostContext} from './fleet-followers.js';
+import {checkStoreEra, checkSuspension, type HostContext} from './fleet-followers.js';
 import type {HostDiscovery} from './host-discovery.js';
 import {applyHostContacts, applyHostDeparture} from './host-list.js';
 import type {HostMessageHandlers} from './host-messages.js';
 import type {HostRegistration} from './host-registration.js';
+import {createStoreVersion} from './store-version.js';
 import type {TeamLimits} from './team-limits.js';
 import type {UsageExchange} from './usage-exchange.js';
 
@@ -23,6 +24,7 @@
 	return {
 		handleRegistered(news) {
 			checkSuspension(host);
+			checkStoreEra(host, createStoreVersion(news.era ?? 0, 0));
 			registration.applyRegistrationUpdate(news);
 		},
 		handleUsage(report, isRelayed) {
--- a/packages/heatherpond-fleet/src/fleet-records.ts
+++ b/packages/heatherpond-fleet/src/fleet-records.ts
@@ -31,6 +31,8 @@
 export const primacySchema = z.object({
 	group: z.string(),
 	term: z.number(),
+	/** Era of the store in which the record was written or affirmed; 0 if absent. In a later era no host relies on it. */
+	era: z.optional(z.number()),
 	/** Absent as long as no primary of the group has been observed. */
 	primary: z.optional(z.string()),
 	/** Promotion in progress; while it is set, no host sends new statements to the old primary. */
--- a/packages/heatherpond-fleet/src/fleet-state.ts
+++ b/packages/heatherpond-fleet/src/fleet-state.ts
@@ -41,6 +41,16 @@
 	readonly registeredUntil: Instant;
 	/** When the store accepted the current registration; only verifications after it start leases. */
 	readonly registeredAt: Instant;
+	/** Latest era of the store that this host has seen; absent before the first response. */
+	readonly storeEra?: number;
+	/** When this host first saw that era. */
+	readonly eraSeenAt: Instant;
+	/** When this host learned that the store had come back from an older copy; negative infinity if that has not happened in its life. */
+	readonly restoredAt: Instant;
+	/** By group: primaries that were not replaced in the earlier era, and cannot be any more. */
+	readonly retainedPrimaries: ReadonlyMap<string, PrimacyRecord>;
+	/** By group: the highest term that was known before a restore. */
+	readonly knownTerms: ReadonlyMap<string, number>;
 	/** Clock of the store minus that of this host in milliseconds, as last measured. */
 	readonly storeClockOffset: number;
 	readonly isStopping: boolean;
@@ -63,6 +73,10 @@
 	hosts: new Map(),
 	registeredUntil: Number.NEGATIVE_INFINITY,
 	registeredAt: Number.POSITIVE_INFINITY,
+	eraSeenAt: Number.NEGATIVE_INFINITY,
+	restoredAt: Number.NEGATIVE_INFINITY,
+	retainedPrimaries: new Map(),
+	knownTerms: new Map(),
 	storeClockOffset: 0,
 	isStopping: false,
 };
@@ -80,7 +94,16 @@
 	};
 }
 
-/** Calls the listener when a suspension, or the end of this host, invalidates its registration. */
+/** Calls the listener when a suspension invalidates every instant that this host has measured. */
+export function registerClockListener(blackboard: FleetBlackboard, listener: () => void): Teardown {
+	return blackboard.registerListener(({contractsVerifiedAt}) => contractsVerifiedAt, contractsVerifiedAt => {
+		if (contractsVerifiedAt === Number.NEGATIVE_INFINITY) {
+			listener();
+		}
+	});
+}
+
+/** Calls the listener when a suspension, a restore of the store, or the end of this host invalidates its registration. */
 export function registerSuspensionListener(blackboard: FleetBlackboard, listener: () => void): Teardown {
 	return blackboard.registerListener(({registeredUntil}) => registeredUntil, registeredUntil => {
 		if (registeredUntil === Number.NEGATIVE_INFINITY) {
--- a/packages/heatherpond-fleet/src/host-message.ts
+++ b/packages/heatherpond-fleet/src/host-message.ts
@@ -28,6 +28,8 @@
 /** Message of a domain leader to its failure domain after it has refreshed registrations. */
 const registrationUpdateSchema = z.object({
 	runs: z.array(registeredIncarnationSchema),
+	/** Era of the store in which the registrations were written; 0 if absent. */
+	era: z.optional(z.number()),
 	/** Some of the hosts of other failure domains, as last read from the store. */
 	farHosts: z.array(hostSchema),
 });
--- a/packages/heatherpond-fleet/src/host-registration.ts
+++ b/packages/heatherpond-fleet/src/host-registration.ts
@@ -98,13 +98,16 @@
 	});
 	const stopListening = registerSuspensionListener(blackboard, () => {
 		registration.nextRefreshAt = clock.readNow();
+		registration.listReadAt = Number.NEGATIVE_INFINITY;
 		loop?.wake();
 	});
 	signal.addEventListener('abort', stopListening, {once: true});
 	return {
-		applyRegistrationUpdate({runs, farHosts}) {
+		applyRegistrationUpdate({runs, farHosts, era = 0}) {
 			blackboard.update(state => applyRemoteDomainHosts(state, farHosts));
-			runs.forEach(run => {
+			// A registration of an earlier era of the store may be lost.
+			const isCurrent = era === (blackboard.read().storeEra ?? 0);
+			(isCurrent ? runs : []).forEach(run => {
 				const sentAt = options.findSentAt(run);
 				if (sentAt !== undefined) {
 					applyRefresh(options.services, sentAt);
@@ -149,8 +152,8 @@
 	}
 
 	const now = clock.readNow();
-	const {registeredUntil} = blackboard.read();
-	return now >= startedAt + STARTUP_GRACE_MS && registeredUntil <= now + SELF_REFRESH_THRESHOLD_MS;
+	const {registeredUntil, restoredAt} = blackboard.read();
+	return now >= Math.max(startedAt, restoredAt) + STARTUP_GRACE_MS && registeredUntil <= now + SELF_REFRESH_THRESHOLD_MS;
 }
 
 async function runRefresh(registration: Registration): Promise<void> {
@@ -257,8 +260,8 @@
 
 function sendRegistrations(registration: Registration, peers: readonly ReceivedReport[]): void {
 	if (peers.length > 0) {
-		const {hosts} = registration.services.blackboard.read();
-		registration.sendRegistered({runs: peers.map(({report: {incarnation, sequence}}) => ({incarnation, sequence})), farHosts: selectRemoteHosts(registration, hosts)});
+		const {hosts, storeEra} = registration.services.blackboard.read();
+		registration.sendRegistered({era: storeEra, runs: peers.map(({report: {incarnation, sequence}}) => ({incarnation, sequence})), farHosts: selectRemoteHosts(registration, hosts)});
 	}
 }
 
--- a/packages/heatherpond-fleet/src/initial-primaries.ts
+++ b/packages/heatherpond-fleet/src/initial-primaries.ts
@@ -21,7 +21,9 @@
 			return;
 		}
 
-		const record: PrimacyRecord = {group, term: status.term, primary: id};
+		const record: PrimacyRecord = {
+			group, term: status.term, primary: id, era: blackboard.read().storeEra,
+		};
 		const row = {table: FLEET_TABLE, key: `${PRIMACY_PREFIX}${group}`};
 		const result = await store.writeRows({expected: [{...row, version: 0}], puts: [{...row, value: JSON.stringify(record)}], removed: []}, clock.readNow() + STORE_TIMEOUT_MS);
 		writeEvent('first_primary', {
--- a/packages/heatherpond-fleet/src/memory-store.ts
+++ b/packages/heatherpond-fleet/src/memory-store.ts
@@ -1,8 +1,9 @@
 /** In-memory store for tests and development, with conditional writes, history truncation and fault injection. */
 import type {Clock, Instant} from 'heatherpond-core';
 import {
-	createStoreError, type RowChange, type StorePort, type StoreTransaction, type TablePage, type TransactionResult,
+	createStoreError, type RowChange, type StorePort, type StoreTransaction, type TransactionResult,
 } from './store-port.js';
+import {createVersionedStore, type EraPage, type EraStorePort} from './versioned-store.js';
 
 /** Fault of a call. */
 export type StoreFault
@@ -20,10 +21,16 @@
 export type MemoryStore = {
 	/** Creates a port for the named caller. */
 	readonly createPort: (caller: string) => StorePort;
+	/** Creates a port with plain row versions and the era, as a server sends them. */
+	readonly createEraPort: (caller: string) => EraStorePort;
 	/** Replaces the fault injector; by default no call fails. */
 	readonly setFaults: (decide: StoreFaultInjector) => void;
 	/** Discards the change history; the rows remain. */
 	readonly dropHistory: () => void;
+	/** Copies all rows. */
+	readonly createCopy: () => StoreCopy;
+	/** Replaces all rows by those of a copy: versions go back and are given out again, and a new era begins. */
+	readonly restoreCopy: (copy: StoreCopy) => void;
 	/** Returns the value of a row, if it exists. */
 	readonly readRow: (table: string, key: string) => string | undefined;
 	/** Writes or removes a row directly, as another client of the store would. */
@@ -40,12 +47,16 @@
 /** Milliseconds by which the store's clock differs from the clock of the hosts. */
 const CLOCK_OFFSET_MS = 500_000;
 
+/** The rows of the store at one moment. */
+export type StoreCopy = {readonly tables: ReadonlyMap<string, Table>; readonly version: number};
+
 type Table = Map<string, {readonly version: number; readonly value: string | undefined}>;
 
 /** Creates an empty store. */
 export function createMemoryStore({clock, latencyMs}: MemoryStoreOptions): MemoryStore {
-	const tables = new Map<string, Table>();
+	let tables = new Map<string, Table>();
 	let version = 1;
+	let era = 0;
 	let oldestVersion = 0;
 	let injectFault: StoreFaultInjector = () => undefined;
 
@@ -55,8 +66,10 @@
 		return table;
 	}
 
-	function createPage(rows: readonly RowChange[]): TablePage {
-		return {rows, version, storeNow: clock.readNow() + CLOCK_OFFSET_MS};
+	function createPage(rows: readonly RowChange[]): EraPage {
+		return {
+			rows, version, storeNow: clock.readNow() + CLOCK_OFFSET_MS, era,
+		};
 	}
 
 	function readRows(table: string, after: number): readonly RowChange[] {
@@ -108,18 +121,34 @@
 		return response!;
 	}
 
-	return {
-		createPort: caller => ({
+	function createEraPort(caller: string): EraStorePort {
+		return {
 			readTable: async (table, deadline) => call(caller, deadline, () => createPage(readRows(table, 0).filter(({value}) => value !== undefined))),
 			readChanges: async (table, after, deadline) => call(caller, deadline, () => {
-				if (after < oldestVersion) {
-					throw createStoreError('change history since the requested version is no longer available', 'history_lost');
+				if (after < oldestVersion || after > version) {
+					throw createStoreError('change history since the requested version is not available', 'history_lost');
 				}
 
 				return createPage(readRows(table, after));
 			}),
-			writeRows: async (transaction, deadline) => call(caller, deadline, () => applyTransaction(transaction), transaction),
-		}),
+			writeRows: async (transaction, deadline) => call(caller, deadline, () => ({...applyTransaction(transaction), era}), transaction),
+		};
+	}
+
+	function createTableCopies(source: ReadonlyMap<string, Table>): Map<string, Table> {
+		return new Map([...source].map(([name, table]) => [name, new Map(table)]));
+	}
+
+	return {
+		createPort: caller => createVersionedStore(createEraPort(caller)),
+		createEraPort,
+		createCopy: () => ({tables: createTableCopies(tables), version}),
+		restoreCopy(copy) {
+			tables = createTableCopies(copy.tables);
+			version = copy.version;
+			oldestVersion = 0;
+			era++;
+		},
 		setFaults(decide) {
 			injectFault = decide;
 		},
--- a/packages/heatherpond-fleet/src/primacy.ts
+++ b/packages/heatherpond-fleet/src/primacy.ts
@@ -5,6 +5,7 @@
  */
 import type {Instant} from 'heatherpond-core';
 import type {Primary} from 'heatherpond-session';
+import type {PrimacyRecord} from './fleet-records.js';
 import type {FleetState} from './fleet-state.js';
 
 /** Milliseconds for which a host may rely on a primary after a verification. */
@@ -28,7 +29,13 @@
 export function isProven(state: FleetState, primary: Primary, now: Instant): boolean {
 	const verifiedAt = state.leaseVerifiedAt.get(primary.group) ?? Number.NEGATIVE_INFINITY;
 	const isLeased = verifiedAt >= state.registeredAt && now < verifiedAt + LEASE_MS && now < state.registeredUntil;
-	return isLeased && !isReplaced(state, primary);
+	const record = state.primacies.get(primary.group)?.record;
+	return isLeased && record !== undefined && isAffirmed(state, record) && !isReplaced(state, primary);
+}
+
+/** Returns whether a primacy record was written or affirmed in the current era of the store. */
+export function isAffirmed({storeEra}: Pick<FleetState, 'storeEra'>, {era}: PrimacyRecord): boolean {
+	return (era ?? 0) === (storeEra ?? 0);
 }
 
 /** Returns whether the host has confirmed the replacement of a primary, or knows another one. */
--- a/packages/heatherpond-fleet/src/promotion-controller.ts
+++ b/packages/heatherpond-fleet/src/promotion-controller.ts
@@ -9,10 +9,13 @@
 } from './fleet-records.js';
 import type {FleetServices, HostIdentity} from './fleet-services.js';
 import type {FleetState, Versioned} from './fleet-state.js';
+import {recordAffirmations, findUnaffirmed} from './record-affirmations.js';
 import {findUnrecordedPrimaries, writeInitialPrimary} from './initial-primaries.js';
+import {isAffirmed} from './primacy.js';
 import {decidePromotionCause, findLiveHosts, type PromotionCause} from './promotion-decisions.js';
 import {runPromotion} from './promotion-run.js';
 import {StoreError, type StoreTransaction} from './store-port.js';
+import {isSettled} from './store-restore.js';
 import type {Upstream} from './upstream.js';
 
 /** Options of the promotion controller. */
@@ -75,8 +78,10 @@
 
 /** Whether there is work that must be continued without delay. */
 function isActive({services: {blackboard}, runningGroups, unrecordedSince}: Controller): boolean {
-	const {primacies, suspicions} = blackboard.read();
-	return runningGroups.size > 0 || Number.isFinite(unrecordedSince) || suspicions.size > 0 || [...primacies.values()].some(({record}) => record.promotion);
+	const state = blackboard.read();
+	const {primacies, suspicions} = state;
+	return runningGroups.size > 0 || Number.isFinite(unrecordedSince) || findUnaffirmed(state).length > 0
+		|| suspicions.size > 0 || [...primacies.values()].some(({record}) => record.promotion);
 }
 
 async function runStep(controller: Controller): Promise<void> {
@@ -108,7 +113,11 @@
 
 async function runDueWork(controller: Controller, state: FleetState, now: Instant): Promise<void> {
 	const {services: {identity}} = controller;
-	await writeInitialPrimaries(controller, state);
+	if (isSettled(state, now)) {
+		await writeInitialPrimaries(controller, state);
+	}
+
+	await runAffirmation(controller, state);
 	if (hasPromotionLease(state, identity)) {
 		startOwnPromotions(controller, state, now);
 		await renewPromotionLease(controller, state, now);
@@ -121,6 +130,20 @@
 	}
 }
 
+/** Affirms the records of an earlier era of the store. Several hosts may try; their transactions have the same conditions. */
+async function runAffirmation(controller: Controller, state: FleetState): Promise<void> {
+	if (findUnaffirmed(state).length === 0) {
+		return;
+	}
+
+	await waitForJitter(controller);
+	const {services} = controller;
+	const current = services.blackboard.read();
+	if (Number.isFinite(current.primacyVerifiedAt)) {
+		await recordAffirmations(services, current, services.clock.readNow());
+	}
+}
+
 /** Continues promotions under the lease of this host that are not running, for example after a response of the store was lost. */
 function startOwnPromotions(controller: Controller, state: FleetState, now: Instant): void {
 	if (readPromotionLeaseDeadline(state, controller.services.identity) > now + PROMOTION_LEASE_RENEWAL_MS) {
@@ -163,7 +186,7 @@
 	const {services, minPromotionLeaseMs} = controller;
 	const promotionLease = createPromotionLease(state, services.identity, now, Math.max(PROMOTION_LEASE_MS, minPromotionLeaseMs));
 	const taken = unhandled.map(({record, version: expected}) => ({
-		record: {...record, promotion: {...record.promotion!, holder: createHolder(services.identity)}}, expected,
+		record: {...record, era: state.storeEra, promotion: {...record.promotion!, holder: createHolder(services.identity)}}, expected,
 	}));
 	const version = await submitPrimacies(controller, state, taken, promotionLease);
 	if (version !== undefined) {
@@ -204,7 +227,7 @@
 
 function findDuePromotions(state: FleetState, now: Instant): readonly DuePromotion[] {
 	const liveHosts = findLiveHosts(state.hosts, now + state.storeClockOffset).length;
-	return [...state.primacies.values()].flatMap(primacy => {
+	return [...state.primacies.values()].filter(({record}) => isAffirmed(state, record)).flatMap(primacy => {
 		const cause = decidePromotionCause(state, primacy.record, liveHosts);
 		return cause ? [{primacy, cause}] : [];
 	});
--- a/packages/heatherpond-fleet/src/promotion-lease.ts
+++ b/packages/heatherpond-fleet/src/promotion-lease.ts
@@ -6,6 +6,7 @@
 import type {PromotionLeaseRecord} from './fleet-records.js';
 import type {HostIdentity} from './fleet-services.js';
 import type {FleetState} from './fleet-state.js';
+import {isSettled} from './store-restore.js';
 
 /** Milliseconds for which the lease is acquired or renewed. */
 export const PROMOTION_LEASE_MS = 3500;
@@ -14,20 +15,32 @@
 /** Milliseconds before its expiry at which the holder stops using the lease, so that it has stopped when others may acquire it. */
 const PROMOTION_LEASE_MARGIN_MS = 300;
 
+/** Number of fencing tokens of one era of the store; tokens of a later era are higher than all that were given out before. */
+const TOKENS_PER_ERA = 2 ** 32;
+
 /** Returns whether this incarnation of the host holds the promotion lease. */
-export function hasPromotionLease({duty}: FleetState, {host, incarnation}: HostIdentity): boolean {
-	return duty?.record.holder === host && duty.record.incarnation === incarnation;
+export function hasPromotionLease(state: FleetState, {host, incarnation}: HostIdentity): boolean {
+	const lease = readCurrentLease(state);
+	return lease?.holder === host && lease.incarnation === incarnation;
+}
+
+/** Reads the lease unless it was written in an earlier era, in which it may have changed hands since. */
+function readCurrentLease({duty, storeEra}: FleetState): PromotionLeaseRecord | undefined {
+	return duty && duty.record.fence >= (storeEra ?? 0) * TOKENS_PER_ERA ? duty.record : undefined;
 }
 
-/** Returns whether this host may acquire the lease: it has expired, or this host holds it, possibly as an earlier incarnation. */
+/**
+ * Returns whether this host may acquire the lease: it has expired, or this host holds it, possibly as an earlier incarnation.
+ * Leases of an earlier era of the store may be lost; they have expired when that era has settled.
+ */
 export function isPromotionLeaseAvailable(state: FleetState, {host}: HostIdentity, now: Instant): boolean {
-	const {duty} = state;
-	return !duty || duty.record.holder === host || duty.record.until < now + state.storeClockOffset;
+	const lease = readCurrentLease(state);
+	return lease ? lease.holder === host || lease.until < now + state.storeClockOffset : isSettled(state, now);
 }
 
 /** Creates the record with which this host acquires or renews the lease; a new holder gets a new fencing token. */
 export function createPromotionLease(state: FleetState, identity: HostIdentity, now: Instant, durationMs: number): PromotionLeaseRecord {
-	const fence = state.duty?.record.fence ?? 0;
+	const fence = Math.max(state.duty?.record.fence ?? 0, (state.storeEra ?? 0) * TOKENS_PER_ERA);
 	return {
 		holder: identity.host,
 		incarnation: identity.incarnation,
--- a/packages/heatherpond-fleet/src/promotion-run.ts
+++ b/packages/heatherpond-fleet/src/promotion-run.ts
@@ -6,7 +6,7 @@
 import {compareLogPositions} from 'heatherpond-session';
 import type {DatabaseStatus} from './database-control-port.js';
 import {
-	FLEET_TABLE, HOSTS_TABLE, PRIMACY_PREFIX, type PrimacyRecord,
+	FLEET_TABLE, HOSTS_TABLE, parseRecord, PRIMACY_PREFIX, primacySchema, PROMOTION_LEASE_KEY, promotionLeaseSchema, type PrimacyRecord,
 } from './fleet-records.js';
 import type {FleetServices} from './fleet-services.js';
 import {applyPrimacy} from './apply-fleet-update.js';
@@ -77,6 +77,16 @@
 
 		primacy = updated;
 		await stopOldPrimary(services, task, polled, candidate);
+		const ownership = await readOwnership(services, task);
+		if (ownership === 'lost') {
+			return false;
+		}
+
+		if (ownership === 'unknown') {
+			await waitUntil(clock, clock.readNow() + POLL_INTERVAL_MS, signal);
+			continue;
+		}
+
 		const outcome = await sendPromotionRequest(services, task, candidate);
 		if (outcome === 'not_running') {
 			excluded.add(candidate.id);
@@ -172,6 +182,32 @@
 	}
 }
 
+/** Whether this host still carries out a promotion under its lease, by the rows of the store. */
+type PromotionOwnership = 'kept' | 'lost' | 'unknown';
+
+/** Reads right before the request whether the promotion is still this host's; the store may have come back without its rows. */
+async function readOwnership(services: FleetServices, {primacy: {record}, fence}: PromotionTask): Promise<PromotionOwnership> {
+	const {store, clock, writeEvent, identity} = services;
+	const promotion = record.promotion!.id;
+	try {
+		const {rows} = await store.readTable(FLEET_TABLE, clock.readNow() + STORE_TIMEOUT_MS);
+		const values = new Map(rows.map(({key, value}) => [key, value]));
+		const current = parseRecord(primacySchema, values.get(`${PRIMACY_PREFIX}${record.group}`) ?? '');
+		const lease = parseRecord(promotionLeaseSchema, values.get(PROMOTION_LEASE_KEY) ?? '');
+		const isKept = current?.promotion?.id === promotion && lease?.incarnation === identity.incarnation && lease.fence === fence;
+		if (!isKept) {
+			writeEvent('promotion_ownership_lost', {
+				group: record.group, promotion, fence, stored_fence: lease?.fence,
+			});
+		}
+
+		return isKept ? 'kept' : 'lost';
+	} catch (error) {
+		writeEvent('promotion_ownership_unread', {group: record.group, promotion, reason: String(error)});
+		return 'unknown';
+	}
+}
+
 /** Outcome of a promotion request; `not_running`: rejected because the database is not running, so the candidate is excluded. */
 type PromotionRequestOutcome = 'accepted' | 'not_running' | 'unknown';
 
@@ -214,7 +250,9 @@
 /** Records the new primary and ends the promotion; resolves to whether no other host was first. */
 async function writeNewPrimary(services: FleetServices, primacy: Versioned<PrimacyRecord>, {upstream, status}: PolledDatabase): Promise<boolean> {
 	const {group} = primacy.record;
-	const written = await writePrimacy(services, primacy, {group, term: status.term, primary: upstream.id});
+	const written = await writePrimacy(services, primacy, {
+		group, term: status.term, primary: upstream.id, era: services.blackboard.read().storeEra,
+	});
 	services.writeEvent('promotion_recorded', {
 		group, database: upstream.id, term: status.term, outcome: written ? 'done' : 'conflict',
 	});
--- a/packages/heatherpond-fleet/src/usage-exchange.ts
+++ b/packages/heatherpond-fleet/src/usage-exchange.ts
@@ -9,7 +9,7 @@
 	createDomainPeers, DIGEST_EXPIRY_MS, REPORT_EXPIRY_MS, type ReceivedReport,
 } from './domain-peers.js';
 import type {FleetServices} from './fleet-services.js';
-import {registerSuspensionListener} from './fleet-state.js';
+import {registerClockListener} from './fleet-state.js';
 import type {HostContact, RegisteredIncarnation} from './host-message.js';
 import type {HostMessages} from './host-messages.js';
 import {countTeamDemand, createDatabaseUsageCache, computeTotalUsage} from './remote-usage.js';
@@ -255,7 +255,7 @@
 	}, signal);
 	// A host learns its peers when it is registered, and then reports at once so that they know its new incarnation.
 	const stopListening = services.blackboard.registerListener(({registeredAt}) => registeredAt, sendReport);
-	const stopListeningToSuspensions = registerSuspensionListener(services.blackboard, () => {
+	const stopListeningToSuspensions = registerClockListener(services.blackboard, () => {
 		sentAt.clear();
 	});
 	signal.addEventListener('abort', () => {
--- a/packages/heatherpond-observe/src/request-explanation.ts
+++ b/packages/heatherpond-observe/src/request-explanation.ts
@@ -25,7 +25,7 @@
 
 /** Events that change what a host may serve: its start and stop, registration, and access to the store and the contracts. */
 const HOST_STATE_EVENTS = new Set([
-	'host_started', 'host_registered', 'host_stopping', 'table_lost', 'table_regained', 'register_failed', 'clock_drift', 'contracts_in_force', 'relay_lost', 'lines_dropped',
+	'host_started', 'host_registered', 'store_restored', 'host_stopping', 'table_lost', 'table_regained', 'register_failed', 'clock_drift', 'contracts_in_force', 'relay_lost', 'lines_dropped',
 ]);
 
 /** Explains a request; `undefined` if no log line has its id. */
