Wait no longer for a dead host than its registration entitles it to primaries

Cause: a promotion waited for the confirmation of a host until 11.3 s after its last refresh, registration and lease added up, though a host without a valid registration relies on no lease. Change: it counts until its registration has expired, with one second for the age of the estimate of the store's clock.

--- a/packages/heatherpond-fleet/src/promotion-decisions.ts
+++ b/packages/heatherpond-fleet/src/promotion-decisions.ts
@@ -4,13 +4,14 @@
 import type {DatabaseStatus} from './database-control-port.js';
 import type {HostRecord, PrimacyRecord} from './fleet-records.js';
 import type {FleetState} from './fleet-state.js';
-import {LEASE_MS} from './primacy.js';
 import type {Upstream} from './upstream.js';
 
 /** Milliseconds of its own clock for which a host considers itself registered after a refresh. */
 export const REGISTRATION_MS = 7000;
-/** Milliseconds of the store's clock after a refresh until promotions no longer wait for a host: its last lease has expired. */
-export const REGISTRATION_EXPIRY_MS = REGISTRATION_MS + LEASE_MS;
+/** Milliseconds by which a row may understate when a registration was refreshed: the age of the estimate of the store's clock. */
+const REGISTRATION_MARGIN_MS = 1000;
+/** Milliseconds of the store's clock after a refresh until promotions no longer wait for a host: it relies on no lease without a valid registration. */
+export const REGISTRATION_EXPIRY_MS = REGISTRATION_MS + REGISTRATION_MARGIN_MS;
 /** Number of hosts that must suspect a primary before it is replaced. */
 const MIN_SUSPECTING_HOSTS = 2;
 
