Ping a failed relay before statements use it, and restart requests once the store responds

Change: a failed relay is pinged with growing pauses and used once it answers; a host that reaches none of the relays may open the reserved connections; a response of the store to one table restarts the requests for the others.

--- a/packages/heatherpond-fleet/src/__tests__/unit/fleet-views.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/fleet-views.test.ts
@@ -121,6 +121,30 @@
 		expect(seen[0]).toMatchObject({requestedAt: 0, receivedAt: 50});
 	});
 
+	test('gives up a request without response when the store has responded to another one, instead of waiting for its timeout', async () => {
+		const clock = createFakeClock(0);
+		const store = createMemoryStore({clock, latencyMs: 10});
+		const lifetime = new AbortController();
+		const seen: TableUpdate[] = [];
+		const failures: string[] = [];
+		store.setFaults(() => clock.readNow() < 300 ? 'silent' : undefined);
+		const follower = startTableFollower({
+			store: store.createPort('host'), clock, table: 't', readIntervalMs: () => 100, random: () => 0, signal: lifetime.signal,
+			applyUpdate(update) {
+				seen.push(update);
+			},
+			handleFailure(reason) {
+				failures.push(reason);
+			},
+		});
+		await advance(clock, 320);
+		follower.restart();
+		await advance(clock, 40);
+		lifetime.abort();
+		expect(seen[0]!.requestedAt).toBeLessThan(340);
+		expect(failures).toEqual([]);
+	});
+
 	test('continues to poll after requests that timed out', async () => {
 		const clock = createFakeClock(0);
 		const store = createMemoryStore({clock, latencyMs: 10});
--- a/packages/heatherpond-fleet/src/__tests__/unit/relay.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/relay.test.ts
@@ -223,7 +223,7 @@
 		await advance(fixture.clock, 20);
 		fixture.links.close('relay');
 		expect(await running).toMatchObject({failure: 'relay', wasSent: true});
-		expect(fixture.client.isBackingOff('relay')).toBe(true);
+		expect(fixture.client.isBackingOff(RELAY)).toBe(true);
 		expect(await runStep(fixture, createHandle(fixture), createStep(fixture, 'WRITE a', {isSentOnce: true}))).toMatchObject({failure: 'relay', wasSent: false});
 	});
 
@@ -253,7 +253,7 @@
 		fixture.answerMs = 900;
 		const end = await runStep(fixture, createHandle(fixture), createStep(fixture, 'READ a', {deadline: fixture.clock.readNow() + 2000}));
 		expect(end).toMatchObject({kind: 'answered'});
-		expect(fixture.client.isBackingOff('relay')).toBe(false);
+		expect(fixture.client.isBackingOff(RELAY)).toBe(false);
 	});
 
 	test('that times out leaves no connection in use on the relay', async () => {
@@ -270,7 +270,7 @@
 		const fixture = createFixture();
 		fixture.isStopping = true;
 		expect(await runStep(fixture, createHandle(fixture), createStep(fixture, 'WRITE a'))).toMatchObject({failure: 'relay', wasSent: false});
-		expect(fixture.client.isBackingOff('relay')).toBe(true);
+		expect(fixture.client.isBackingOff(RELAY)).toBe(true);
 		fixture.isStopping = false;
 		fixture.isReplaced = true;
 		const primary = {group: 'g', database: 'db', term: 1};
@@ -299,9 +299,28 @@
 			team: 'team', priority: 1, variables: new Map(), deadline: fixture.clock.readNow() + 1000, signal: new AbortController().signal,
 		});
 		const result = next.run(createStep(fixture, 'READ 2'));
-		expect(fixture.client.isBackingOff('relay')).toBe(false);
+		expect(fixture.client.isBackingOff(RELAY)).toBe(false);
 		await advance(fixture.clock, 400);
 		expect(await running).toMatchObject({kind: 'answered'});
 		expect(await result).toMatchObject({kind: 'answered'});
 	});
+
+	test('does not use a failed relay again before it has answered a ping', async () => {
+		const fixture = createFixture();
+		await runStep(fixture, createHandle(fixture), createStep(fixture, 'READ a'));
+		fixture.links.silence('relay');
+		expect(await runStep(fixture, createHandle(fixture), createStep(fixture, 'READ a'))).toMatchObject({failure: 'relay'});
+		const sentBefore = fixture.links.countSentTo('relay');
+		await advance(fixture.clock, 9000, () => {
+			expect(fixture.client.isBackingOff(RELAY)).toBe(true);
+		});
+		// Pings after 1, 2 and 4 seconds.
+		expect(fixture.links.countSentTo('relay') - sentBefore).toBeLessThanOrEqual(4);
+		fixture.links.restore('relay');
+		await advance(fixture.clock, 4500, () => {
+			fixture.client.isBackingOff(RELAY);
+		});
+		expect(fixture.client.isBackingOff(RELAY)).toBe(false);
+		expect(await runStep(fixture, createHandle(fixture), createStep(fixture, 'READ a'))).toMatchObject({kind: 'answered'});
+	});
 });
--- a/packages/heatherpond-fleet/src/fleet-followers.ts
+++ b/packages/heatherpond-fleet/src/fleet-followers.ts
@@ -89,6 +89,9 @@
 			if (isFailing) {
 				isFailing = false;
 				writeEvent('table_regained', {table, version: update.page.version});
+				followers.filter(other => other !== follower).forEach(other => {
+					other.restart();
+				});
 			}
 
 			applyUpdate(update);
--- a/packages/heatherpond-fleet/src/relay-client.ts
+++ b/packages/heatherpond-fleet/src/relay-client.ts
@@ -12,8 +12,8 @@
 export type RelayClient = {
 	/** Creates a handle for a connection of a relay; the relay acquires the connection when the first step arrives. */
 	readonly createHandle: (relay: HostRecord, database: string, request: ConnectionRequest) => ConnectionHandle;
-	/** Whether a host has failed as a relay recently and should not be used yet. */
-	readonly isBackingOff: (host: string) => boolean;
+	/** Whether a host has failed as a relay and has not answered since; it is pinged from time to time, and used again once it answers. */
+	readonly isBackingOff: (relay: HostRecord) => boolean;
 	readonly destroy: () => void;
 };
 
@@ -24,8 +24,11 @@
 	readonly writeEvent: WriteEvent;
 };
 
-/** Time for which a failed relay is not used, in milliseconds. */
+/** Time after which a relay that does not respond is pinged again, in milliseconds; it doubles with each failure up to the maximum. */
 const BACKOFF_MS = 1000;
+const MAX_BACKOFF_MS = 4000;
+/** The same for a relay whose machine has closed or refused the link, because its process restarts. */
+const CLOSED_BACKOFF_MS = 250;
 /** Time without a response after which a relay is pinged, and time within which it must answer the ping, in milliseconds. */
 const PING_AFTER_MS = 150;
 const PING_TIMEOUT_MS = 250;
@@ -51,10 +54,29 @@
 	isClosed: boolean;
 };
 
+/** A relay that has failed: how often in a row, when it is pinged, and whether a ping is under way. */
+type FailedRelay = {readonly failures: number; readonly retryAt: Instant; isPinged: boolean};
+
 /** Creates the client; links are opened on first use. */
 export function createRelayClient({clock, links, writeEvent}: RelayClientOptions): RelayClient {
 	const linksByHost = new Map<string, RelayLink>();
-	const backoffUntil = new Map<string, Instant>();
+	/** Relays that have failed and have not answered since. */
+	const failedRelays = new Map<string, FailedRelay>();
+
+	function recordFailure(host: string, backoffMs: number): void {
+		const failures = (failedRelays.get(host)?.failures ?? 0) + 1;
+		failedRelays.set(host, {failures, isPinged: false, retryAt: clock.readNow() + Math.min(MAX_BACKOFF_MS, backoffMs * (2 ** (failures - 1)))});
+	}
+
+	/** Pings a failed relay, so that no statement has to find out whether it responds again. */
+	async function checkFailedRelay(relay: HostRecord, failed: FailedRelay): Promise<void> {
+		failed.isPinged = true;
+		const relayLink = findLink(relay);
+		// The response, or any other message, removes the relay from the failed ones.
+		if (!await checkLiveness(relayLink, Number.POSITIVE_INFINITY)) {
+			closeLink(relayLink, 'silent');
+		}
+	}
 
 	function closeLink(relayLink: RelayLink, reason: string): void {
 		if (relayLink.isClosed) {
@@ -64,7 +86,7 @@
 		relayLink.isClosed = true;
 		if (linksByHost.get(relayLink.relay.host) === relayLink) {
 			linksByHost.delete(relayLink.relay.host);
-			backoffUntil.set(relayLink.relay.host, clock.readNow() + BACKOFF_MS);
+			recordFailure(relayLink.relay.host, reason === 'closed' ? CLOSED_BACKOFF_MS : BACKOFF_MS);
 		}
 
 		writeEvent('relay_lost', {relay: relayLink.relay.host, reason, waiting: relayLink.waiting.size});
@@ -76,7 +98,7 @@
 
 	function handleText(relayLink: RelayLink, text: string): void {
 		relayLink.lastReceivedAt = clock.readNow();
-		backoffUntil.delete(relayLink.relay.host);
+		failedRelays.delete(relayLink.relay.host);
 		const message = parseRelayMessage(text);
 		switch (message?.kind) {
 			case 'end': {
@@ -86,7 +108,7 @@
 
 			case 'failure': {
 				if (message.failure === 'relay') {
-					backoffUntil.set(relayLink.relay.host, clock.readNow() + BACKOFF_MS);
+					recordFailure(relayLink.relay.host, BACKOFF_MS);
 				}
 
 				relayLink.waiting.get(message.loan)?.reject(createUpstreamError(message.reason, message.failure satisfies UpstreamFailure, message.wasSent));
@@ -227,7 +249,14 @@
 				},
 			});
 		},
-		isBackingOff: host => (backoffUntil.get(host) ?? Number.NEGATIVE_INFINITY) > clock.readNow(),
+		isBackingOff(relay) {
+			const failed = failedRelays.get(relay.host);
+			if (failed && !failed.isPinged && clock.readNow() >= failed.retryAt) {
+				void checkFailedRelay(relay, failed);
+			}
+
+			return failedRelays.has(relay.host);
+		},
 		destroy() {
 			[...linksByHost.values()].forEach(relayLink => {
 				closeLink(relayLink, 'stopping');
--- a/packages/heatherpond-fleet/src/table-follower.ts
+++ b/packages/heatherpond-fleet/src/table-follower.ts
@@ -40,8 +40,12 @@
 export type TableFollower = {
 	/** Sends a request immediately, or another one after the request in flight. */
 	readonly refresh: () => void;
+	/** Gives up a request that has been waiting for a while, and sends another one: the store has responded to a different request. */
+	readonly restart: () => void;
 };
 
+/** Age in milliseconds up to which a request is not given up early. */
+const MIN_RESTART_AGE_MS = 100;
 /** Request timeout in milliseconds. */
 const RESPONSE_TIMEOUT_MS = 900;
 /** Bounds of the retry delay in milliseconds. */
@@ -55,6 +59,8 @@
 	let version = 0;
 	let failures = 0;
 	let loop: Loop | undefined;
+	/** The request in flight. */
+	let current: {readonly sentAt: Instant; readonly giveUp: () => void} | undefined;
 
 	async function readPage(requestedAt: Instant): Promise<TableUpdate> {
 		const {store, table} = options;
@@ -71,10 +77,26 @@
 		};
 	}
 
+	/** Reads a page; resolves to nothing when the request is given up early. */
+	async function readPageUnlessRestarted(requestedAt: Instant): Promise<TableUpdate | undefined> {
+		const restarted = new Promise<undefined>(resolve => {
+			current = {
+				sentAt: requestedAt, giveUp() {
+					resolve(undefined);
+				},
+			};
+		});
+		return Promise.race([readPage(requestedAt), restarted]);
+	}
+
 	async function runPoll(): Promise<Deadline> {
 		const requestedAt = options.clock.readNow();
 		try {
-			const update = await readPage(requestedAt);
+			const update = await readPageUnlessRestarted(requestedAt);
+			if (!update) {
+				return options.clock.readNow();
+			}
+
 			// A page relayed by another host may be older than what this host has read itself.
 			version = Math.max(version, update.page.version);
 			failures = 0;
@@ -107,5 +129,12 @@
 		refresh() {
 			loop?.wake();
 		},
+		restart() {
+			if (current && options.clock.readNow() >= current.sentAt + MIN_RESTART_AGE_MS) {
+				current.giveUp();
+			}
+
+			loop?.wake();
+		},
 	};
 }
--- a/packages/heatherpond-fleet/src/upstream-directory.ts
+++ b/packages/heatherpond-fleet/src/upstream-directory.ts
@@ -64,7 +64,7 @@
 
 /** Fraction of a database's connection limit kept free for restarting hosts, while the database still counts the connections of their previous incarnation. */
 const RESERVED_SHARE = 0.2;
-/** Connections that a host may open itself to a database with relays, for when it cannot reach any of them. */
+/** Connections that a host may open itself to a database with relays; when it can reach none of them, the reserved share. */
 const FALLBACK_CONNECTIONS = 1;
 /** Weight of a new sample in the moving average of the latency. */
 const LATENCY_MEAN_WEIGHT = 0.1;
@@ -130,7 +130,7 @@
 		}
 
 		const [own] = options.readHosts();
-		const chosen = relays.orderForTeam(upstream.id, team, all).find(({host}) => host === own!.host || !options.relays.isBackingOff(host));
+		const chosen = relays.orderForTeam(upstream.id, team, all).find(relay => relay.host === own!.host || !options.relays.isBackingOff(relay));
 		return chosen?.host === own!.host ? undefined : chosen;
 	}
 
@@ -143,13 +143,19 @@
 		const allHosts = options.readHosts();
 		const databaseRelays = findDatabaseRelays(upstream);
 		if (databaseRelays.length > 0) {
-			return databaseRelays.some(({host}) => host === allHosts[0]!.host) ? Math.max(1, Math.floor(total / databaseRelays.length)) : FALLBACK_CONNECTIONS;
+			return databaseRelays.some(({host}) => host === allHosts[0]!.host) ? Math.max(1, Math.floor(total / databaseRelays.length)) : readFallbackLimit(upstream, databaseRelays);
 		}
 
 		const hosts = allHosts.length;
 		return Math.max(1, Math.floor(total / hosts), (entries.get(upstream.id)?.pool.countOpen() ?? 0) + Math.floor(unused / hosts));
 	}
 
+	/** A host that reaches none of the relays of a database is probably cut off from them, and then has the reserved connections for itself. */
+	function readFallbackLimit({group}: Upstream, databaseRelays: readonly HostRecord[]): number {
+		const maxConnections = blackboard.read().contracts?.groups.get(group)?.maxConnections ?? 1;
+		return databaseRelays.every(options.relays.isBackingOff) ? Math.max(FALLBACK_CONNECTIONS, Math.floor(maxConnections * RESERVED_SHARE)) : FALLBACK_CONNECTIONS;
+	}
+
 	/** While connections are scarce they are closed sooner, so that rarely used ones become available to busier hosts. */
 	function readIdleTimeoutMs(id: string): number {
 		const upstream = findUpstream(id);
