Keep limits when all hosts start at once, and when leaders die one after the other

A host that knew no other took the whole limit; new leaders filled their buckets to a half; buckets beside the leader's filled up unused.

Change: nothing is admitted before a host knows all that registered before it; every domain counts during the first 5 s; small first fills; buckets beside a leader's are discarded; contact is lost after 1.6 s.

--- a/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
+++ b/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
@@ -200,6 +200,7 @@
 				draws++;
 				return (draws * 0.618) % 1;
 			},
+			domains: [...new Set(hostNames.map(host => host.includes('/') ? host.split('/')[0]! : 'domain-1'))],
 			readRegion: domain => domain,
 			revocationMs: REVOCATION_MS,
 			minPromotionLeaseMs: 0,
--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -56,6 +56,8 @@
 	/** Records the outcome of each statement. */
 	readonly recordStatement: SessionServices['recordStatement'];
 	readonly random: () => number;
+	/** All failure domains of the deployment. */
+	readonly domains: readonly string[];
 	/** Returns the region of a failure domain. */
 	readonly readRegion: (domain: string) => string;
 	/** Milliseconds within which a withdrawn key must stop working. */
@@ -143,7 +145,7 @@
 	const positions = createPositionTracker();
 	const suspicion = createPrimaryFailureDetector(services, signal);
 	const limits = createTeamLimits({
-		clock, blackboard, writeEvent, requestGrant: messages.requestGrant, requestTransfer: messages.requestTransfer, findDomainLeader,
+		clock, blackboard, writeEvent, signal, requestGrant: messages.requestGrant, requestTransfer: messages.requestTransfer, findDomainLeader,
 		readOtherLeaders: team => usage.exchange!.readOtherLeaders(team),
 		readUsage: team => usage.exchange!.readTeam(team),
 	});
@@ -166,7 +168,7 @@
 		isStopping: () => blackboard.read().isStopping,
 	});
 	usage.exchange = startUsageExchange({
-		services, messages, signal, isDiscovering: () => !discovery.isDone(),
+		services, messages, domains: options.domains, signal, isDiscovering: () => !discovery.isDone(),
 		handleNewPeer() {
 			registrations.current?.registerNewPeers();
 		},
@@ -232,7 +234,7 @@
 		},
 		async waitForStart(deadline) {
 			if (clock.readNow() < startedAt + START_MS) {
-				await waitForState({blackboard, clock}, state => !isRegistrationExpired(state, clock.readNow()), Math.min(deadline, startedAt + START_MS), signal);
+				await waitForState({blackboard, clock}, state => state.arePeersKnown && !isRegistrationExpired(state, clock.readNow()), Math.min(deadline, startedAt + START_MS), signal);
 			}
 		},
 		startShutdown() {
--- a/packages/heatherpond-fleet/src/fleet-state.ts
+++ b/packages/heatherpond-fleet/src/fleet-state.ts
@@ -51,6 +51,11 @@
 	readonly retainedPrimaries: ReadonlyMap<string, PrimacyRecord>;
 	/** By group: the highest term that was known before a restore. */
 	readonly knownTerms: ReadonlyMap<string, number>;
+	/**
+	 * Whether this host knows all hosts that registered before it. Of two hosts that start at the same time, the later one
+	 * then knows the earlier one and reports to it.
+	 */
+	readonly arePeersKnown: boolean;
 	/** Clock of the store minus that of this host in milliseconds, as last measured. */
 	readonly storeClockOffset: number;
 	readonly isStopping: boolean;
@@ -77,6 +82,7 @@
 	restoredAt: Number.NEGATIVE_INFINITY,
 	retainedPrimaries: new Map(),
 	knownTerms: new Map(),
+	arePeersKnown: false,
 	storeClockOffset: 0,
 	isStopping: false,
 };
--- a/packages/heatherpond-fleet/src/host-registration.ts
+++ b/packages/heatherpond-fleet/src/host-registration.ts
@@ -111,6 +111,7 @@
 				const sentAt = options.findSentAt(run);
 				if (sentAt !== undefined) {
 					applyRefresh(options.services, sentAt);
+					blackboard.update(state => ({...state, arePeersKnown: true}));
 				}
 			});
 		},
@@ -213,6 +214,7 @@
 		}
 
 		applyRefresh(services, sentAt);
+		await readEarlierHosts(registration);
 		sendRegistrations(registration, peers.slice(0, MAX_REGISTERED_PER_TRANSACTION - 1));
 		return await writeFurtherRegistrations(registration, peers.slice(MAX_REGISTERED_PER_TRANSACTION - 1), offset);
 	} catch (error) {
@@ -272,6 +274,15 @@
 		|| clock.readNow() >= listReadAt + LIST_READ_INTERVAL_MS;
 }
 
+/** Reads the list once after the first registration, so that this host knows all hosts that registered before it. */
+async function readEarlierHosts(registration: Registration): Promise<void> {
+	const {blackboard} = registration.services;
+	if (!blackboard.read().arePeersKnown) {
+		const hosts = readHosts(await readList(registration));
+		blackboard.update(state => ({...state, hosts, arePeersKnown: true}));
+	}
+}
+
 async function readList(registration: Registration): Promise<TablePage> {
 	const {clock, store} = registration.services;
 	const sentAt = clock.readNow();
--- a/packages/heatherpond-fleet/src/team-limits.ts
+++ b/packages/heatherpond-fleet/src/team-limits.ts
@@ -11,6 +11,7 @@
 import type {Deadline, Instant} from 'heatherpond-core';
 import type {AdmissionPort, WriteEvent} from 'heatherpond-session';
 import type {FleetBlackboard} from './fleet-state.js';
+import {waitForState} from './wait-for-state.js';
 import type {HostContact} from './host-message.js';
 import {recordOperation, readDemand, type DemandRate} from './demand-rate.js';
 import {
@@ -52,6 +53,7 @@
 	readonly findDomainLeader: () => HostContact | undefined;
 	readonly requestGrant: RequestGrant;
 	readonly writeEvent: WriteEvent;
+	readonly signal: AbortSignal;
 };
 
 /** Demand, in operations per second, up to which a team is left out of reports. */
@@ -63,6 +65,9 @@
 /** Size of one request to the leader: the demand of this many seconds, and at most this many operations. */
 const REQUESTED_DEMAND_S = 0.25;
 const MAX_REQUESTED = 8;
+/** Time for which operations wait until a host that has just started knows the other hosts, and delay before a retry after that, in milliseconds. */
+const START_WAIT_MS = 300;
+const START_RETRY_AFTER_MS = 100;
 /** Time for which granted operations stay usable, in milliseconds. */
 const GRANT_LIFETIME_MS = 600;
 
@@ -84,6 +89,15 @@
 		return blackboard.read().contracts?.teams.get(team);
 	}
 
+	/** Whether this host may create tokens: before it knows the other hosts, their parts of the limit could be counted twice. */
+	function isEntitled(): boolean {
+		return options.blackboard.read().arePeersKnown;
+	}
+
+	async function waitUntilEntitled(): Promise<boolean> {
+		return waitForState(options, ({arePeersKnown}) => arePeersKnown, clock.readNow() + START_WAIT_MS, options.signal);
+	}
+
 	function readDomainDemand(team: string, limit: TeamLimit): number {
 		return readDemand(demands.get(team), limit, clock.readNow()) + options.readUsage(team).domainPeersPerSecond;
 	}
@@ -115,6 +129,10 @@
 	/** Takes operations from the bucket of the domain, after a transfer from other domains when it is empty. */
 	async function takeFromDomain(team: string, wanted: number): Promise<Grant> {
 		const limit = findLimit(team);
+		if (!await waitUntilEntitled()) {
+			return {granted: 0, retryAfterMs: START_RETRY_AFTER_MS};
+		}
+
 		if (limit && !hasTokens(team, limit)) {
 			await transfers.acquireToken(team, {
 				countTokens: () => findDomainBucket(team, limit).tokens,
@@ -143,7 +161,7 @@
 	function decideTransfer(team: string, wanted: number): number {
 		const limit = findLimit(team);
 		// A host that is no longer the leader must not create a bucket: its tokens would come on top of the leader's.
-		if (!limit || options.findDomainLeader() !== undefined) {
+		if (!limit || !isEntitled() || options.findDomainLeader() !== undefined) {
 			return 0;
 		}
 
@@ -152,6 +170,13 @@
 		return given;
 	}
 
+	/** Takes one operation from the bucket that this host uses while the leader does not respond. */
+	async function takeFromOwnBucket(team: string): Promise<Grant> {
+		return await waitUntilEntitled()
+			? takeFromBucket(ownBuckets, team, {wanted: 1, part: 1 / options.readUsage(team).liveDomainHosts})
+			: {granted: 0, retryAfterMs: START_RETRY_AFTER_MS};
+	}
+
 	async function requestFromLeader(leader: HostContact, team: string, limit: TeamLimit): Promise<number> {
 		const rate = readDemand(demands.get(team), limit, clock.readNow());
 		const wanted = Math.min(MAX_REQUESTED, Math.max(1, Math.ceil(rate * REQUESTED_DEMAND_S)));
@@ -160,7 +185,12 @@
 			leaderBackoffUntil = clock.readNow() + LEADER_BACKOFF_MS;
 		}
 
-		const grant = response ?? takeFromBucket(ownBuckets, team, {wanted: 1, part: 1 / options.readUsage(team).liveDomainHosts});
+		if (response) {
+			// A bucket that fills up beside the leader's would count the burst of the limit twice.
+			ownBuckets.delete(team);
+		}
+
+		const grant = response ?? await takeFromOwnBucket(team);
 		if (grant.granted === 0) {
 			return grant.retryAfterMs;
 		}
@@ -196,6 +226,10 @@
 		decideGrant: takeFromDomain,
 		decideTransfer,
 		readUsage() {
+			if (options.findDomainLeader() !== undefined) {
+				domainBuckets.clear();
+			}
+
 			[domainBuckets, ownBuckets].forEach(buckets => {
 				recordReportedDemands(buckets);
 			});
--- a/packages/heatherpond-fleet/src/token-bucket.ts
+++ b/packages/heatherpond-fleet/src/token-bucket.ts
@@ -37,8 +37,12 @@
 /** Tolerance on top of the burst for all hosts together: a fraction of the operations in the window, plus a fixed number. */
 const TOLERANCE_SHARE = 0.05;
 const TOLERANCE_OPERATIONS = 12;
-/** Fraction of its capacity that a new bucket is filled to, but at least one operation. */
-const INITIAL_FILL = 0.5;
+/**
+ * Tokens in the new buckets of all domains together: a fraction of the operations in the window, plus a fixed number. They come
+ * on top of what earlier leaders have admitted in the same window, so they are taken from the tolerance that their buckets leave.
+ */
+const INITIAL_SHARE = 0.03;
+const INITIAL_OPERATIONS = 5;
 /** Bounds of the retry delay: the lowest refill rate assumed, in operations per second, and the limit for spreading retries, in milliseconds. */
 const MIN_REFILL_PER_SECOND = 0.01;
 const MAX_RETRY_AFTER_MS = 5000;
@@ -50,7 +54,7 @@
 	const start: TokenBucket = {
 		tokens: 0, refilledAt: now, reportedDemandPerSecond: 0, lastRetryAt: now,
 	};
-	return {...start, tokens: Math.max(otherDomains.coveredFraction, readCapacity(start, limit, otherDomains) * INITIAL_FILL)};
+	return {...start, tokens: Math.max(otherDomains.coveredFraction, computeDomainPart((computeCovered(limit) * INITIAL_SHARE) + INITIAL_OPERATIONS, otherDomains))};
 }
 
 /** Reads the fraction of the limit that the bucket is refilled with, from 0 to 1. */
@@ -61,10 +65,19 @@
 	return otherDomains.coveredFraction * own / (own + remote + (otherDomains.unheard * own));
 }
 
+/** Computes the operations that a limit allows in one window. */
+function computeCovered({ratePerSecond, burst}: TeamLimit): number {
+	return (ratePerSecond * TOLERANCE_WINDOW_S) + burst;
+}
+
+/** Computes the equal part of this domain of a number of operations for all domains. */
+function computeDomainPart(operations: number, {coveredFraction, heard, unheard}: OtherDomains): number {
+	return operations * coveredFraction / (heard + unheard + 1);
+}
+
 /** Reads the capacity of the bucket, in operations. */
 function readCapacity(bucket: TokenBucket, limit: TeamLimit, otherDomains: OtherDomains): number {
-	const covered = (limit.ratePerSecond * TOLERANCE_WINDOW_S) + limit.burst;
-	const tolerance = ((covered * TOLERANCE_SHARE) + TOLERANCE_OPERATIONS) * otherDomains.coveredFraction / (otherDomains.heard + otherDomains.unheard + 1);
+	const tolerance = computeDomainPart((computeCovered(limit) * TOLERANCE_SHARE) + TOLERANCE_OPERATIONS, otherDomains);
 	return Math.max(1, (limit.burst * readLimitShare(bucket, limit, otherDomains)) + tolerance);
 }
 
--- a/packages/heatherpond-fleet/src/usage-exchange.ts
+++ b/packages/heatherpond-fleet/src/usage-exchange.ts
@@ -24,6 +24,10 @@
 const MIN_DIGEST_REPLY_INTERVAL_MS = 100;
 /** Age up to which reports are kept, in milliseconds; until then the last report of a silent domain still counts as its demand. */
 const REPORT_RETENTION_MS = 15_000;
+/** Age of the last report up to which a domain peer counts as in contact with this host, in milliseconds: one interval and a margin. */
+const CONTACT_EXPIRY_MS = 1600;
+/** Time after the start of a host for which every domain counts that has not reported, even if none of its hosts is known, in milliseconds. */
+const DOMAIN_START_MS = 5000;
 /** Number of hosts that receive the domain's report in a domain from which no recent report has come. */
 const RECEIVERS_PER_SILENT_DOMAIN = 2;
 /**
@@ -73,6 +77,8 @@
 export type UsageExchangeOptions = {
 	readonly services: FleetServices;
 	readonly messages: HostMessages;
+	/** All failure domains of the deployment. */
+	readonly domains: readonly string[];
 	readonly readHostUsage: () => HostUsage;
 	/** Whether this host still searches for the leader of its domain, and does not act as the leader until it has given up. */
 	readonly isDiscovering: () => boolean;
@@ -82,7 +88,7 @@
 };
 
 /** Starts the exchange; it runs until the signal aborts. */
-export function startUsageExchange({services, messages, readHostUsage, isDiscovering, handleNewPeer, signal}: UsageExchangeOptions): UsageExchange {
+export function startUsageExchange({services, messages, domains, readHostUsage, isDiscovering, handleNewPeer, signal}: UsageExchangeOptions): UsageExchange {
 	const {clock, identity} = services;
 	const peers = createDomainPeers({
 		clock, identity, readRegistered: () => messages.readPeers().filter(({domain}) => domain === identity.domain),
@@ -136,10 +142,10 @@
 		return digest && digest.members.length > MAX_MESH_HOSTS ? digest : undefined;
 	}
 
-	/** Counts the live domain peers: those that the leader names, or those that report to this host. */
+	/** Counts the domain peers with which this host is in contact: those that the leader names, or those that report to this host. */
 	function countLivePeers(): number {
 		const digest = readTrustedDigest();
-		return digest ? digest.members.length - 1 : peers.readReports().length;
+		return digest ? digest.members.length - 1 : peers.readReports().filter(({receivedAt}) => receivedAt + CONTACT_EXPIRY_MS > clock.readNow()).length;
 	}
 
 	function removeExpired(): void {
@@ -236,7 +242,8 @@
 		const known = [...domainReports.values()].map(({report}) => report);
 		const peerCount = registered.filter(({domain}) => domain === identity.domain).length;
 		const liveDomainHosts = countLivePeers() + 1;
-		const unreportedDomains = new Set(registered.map(({domain}) => domain).filter(domain => domain !== identity.domain && !domainReports.has(domain)));
+		const otherDomains = clock.readNow() < startedAt + DOMAIN_START_MS ? domains : registered.map(({domain}) => domain);
+		const unreportedDomains = new Set(otherDomains.filter(domain => domain !== identity.domain && !domainReports.has(domain)));
 		const digest = readTrustedDigest();
 		return {
 			otherDomains: {
@@ -255,11 +262,13 @@
 	}, signal);
 	// A host learns its peers when it is registered, and then reports at once so that they know its new incarnation.
 	const stopListening = services.blackboard.registerListener(({registeredAt}) => registeredAt, sendReport);
+	const stopListeningToPeers = services.blackboard.registerListener(({arePeersKnown}) => arePeersKnown, sendReport);
 	const stopListeningToSuspensions = registerClockListener(services.blackboard, () => {
 		sentAt.clear();
 	});
 	signal.addEventListener('abort', () => {
 		stopListening();
+		stopListeningToPeers();
 		stopListeningToSuspensions();
 		stopDigestTimer();
 	}, {once: true});
