--- a/packages/heatherpond-fleet/src/promotion-controller.ts
+++ b/packages/heatherpond-fleet/src/promotion-controller.ts
@@ -1,11 +1,10 @@
 /** Starts due promotions, takes over those that another host has abandoned, and records the initial primary of each group. */
 import {startLoop, waitUntil, type Instant} from 'heatherpond-core';
-import {applyPrimacy} from './apply-fleet-update.js';
 import {
 	createPromotionLease, PROMOTION_LEASE_MS, PROMOTION_LEASE_RENEWAL_MS, isPromotionLeaseAvailable, hasPromotionLease, readPromotionLeaseDeadline,
 } from './promotion-lease.js';
 import {
-	PROMOTION_LEASE_KEY, FLEET_TABLE, PRIMACY_PREFIX, type PromotionLeaseRecord, type PrimacyRecord,
+	PROMOTION_LEASE_KEY, FLEET_TABLE, type PromotionLeaseRecord, type PrimacyRecord,
 } from './fleet-records.js';
 import type {FleetServices, HostIdentity} from './fleet-services.js';
 import type {FleetState, Versioned} from './fleet-state.js';
@@ -14,7 +13,8 @@
 import {isAffirmed} from './primacy.js';
 import {decidePromotionCause, findLiveHosts, type PromotionCause} from './promotion-decisions.js';
 import {runPromotion} from './promotion-run.js';
-import {StoreError, type StoreTransaction} from './store-port.js';
+import {StoreError} from './store-port.js';
+import {submitPrimacies} from './submit-primacies.js';
 import {isSettled} from './store-restore.js';
 import type {Upstream} from './upstream.js';
 
@@ -122,7 +122,7 @@
 		startOwnPromotions(controller, state, now);
 		await renewPromotionLease(controller, state, now);
 	} else if (isPromotionLeaseAvailable(state, identity, now)) {
-		await takeOverPromotions(controller, state, now);
+		await takeOverPromotions(controller, state);
 	}
 
 	if (isPromotionLeaseAvailable(state, identity, now)) {
@@ -157,14 +157,15 @@
 	return [...state.primacies.values()].filter(({record}) => record.promotion && !runningGroups.has(record.group));
 }
 
-async function renewPromotionLease({services, runningGroups, minPromotionLeaseMs}: Controller, state: FleetState, now: Instant): Promise<void> {
+async function renewPromotionLease(controller: Controller, state: FleetState, now: Instant): Promise<void> {
+	const {services, runningGroups} = controller;
 	const {identity, store, clock} = services;
 	const isNeeded = runningGroups.size > 0 || [...state.primacies.values()].some(({record}) => record.promotion);
 	if (!isNeeded || readPromotionLeaseDeadline(state, identity) > now + PROMOTION_LEASE_RENEWAL_MS) {
 		return;
 	}
 
-	const promotionLease = createPromotionLease(state, identity, now, Math.max(PROMOTION_LEASE_MS, minPromotionLeaseMs));
+	const promotionLease = createOwnLease(controller, state);
 	await store.writeRows({
 		expected: [{table: FLEET_TABLE, key: PROMOTION_LEASE_KEY, version: state.duty!.version}],
 		puts: [{table: FLEET_TABLE, key: PROMOTION_LEASE_KEY, value: JSON.stringify(promotionLease)}],
@@ -177,18 +178,18 @@
  * Acquires the promotion lease and all unfinished promotions of its previous holder. Rewriting their rows makes pending
  * conditional writes of that holder fail.
  */
-async function takeOverPromotions(controller: Controller, state: FleetState, now: Instant): Promise<void> {
+async function takeOverPromotions(controller: Controller, state: FleetState): Promise<void> {
 	const unhandled = findUnhandledPromotions(controller, state);
 	if (unhandled.length === 0) {
 		return;
 	}
 
-	const {services, minPromotionLeaseMs} = controller;
-	const promotionLease = createPromotionLease(state, services.identity, now, Math.max(PROMOTION_LEASE_MS, minPromotionLeaseMs));
+	const {services} = controller;
+	const promotionLease = createOwnLease(controller, state);
 	const taken = unhandled.map(({record, version: expected}) => ({
 		record: {...record, era: state.storeEra, promotion: {...record.promotion!, holder: createHolder(services.identity)}}, expected,
 	}));
-	const version = await submitPrimacies(controller, state, taken, promotionLease);
+	const version = await submitPrimacies(services, state, taken, promotionLease);
 	if (version !== undefined) {
 		services.writeEvent('promotion_taken_over', {groups: taken.map(({record}) => record.group).join(','), fence: promotionLease.fence, from: state.duty?.record.holder});
 		taken.forEach(({record}) => {
@@ -219,6 +220,11 @@
 	await waitUntil(clock, clock.readNow() + (isPreferred() ? jitter : NON_PREFERRED_DELAY_MS + (2 * jitter)), signal);
 }
 
+/** Creates the lease with which this host acquires or renews the right to request promotions. */
+function createOwnLease({services: {identity, clock}, minPromotionLeaseMs}: Controller, state: FleetState): PromotionLeaseRecord {
+	return createPromotionLease(state, identity, clock.readNow(), Math.max(PROMOTION_LEASE_MS, minPromotionLeaseMs));
+}
+
 function createHolder({host, incarnation}: HostIdentity): NonNullable<NonNullable<PrimacyRecord['promotion']>['holder']> {
 	return {host, incarnation};
 }
@@ -234,9 +240,9 @@
 }
 
 async function startPromotion(controller: Controller, state: FleetState, {primacy, cause}: DuePromotion): Promise<void> {
-	const {services, minPromotionLeaseMs} = controller;
+	const {services} = controller;
 	const {identity, clock, writeEvent} = services;
-	const promotionLease = createPromotionLease(state, identity, clock.readNow(), Math.max(PROMOTION_LEASE_MS, minPromotionLeaseMs));
+	const promotionLease = createOwnLease(controller, state);
 	const record: PrimacyRecord = {
 		...primacy.record,
 		promotion: {
@@ -246,50 +252,13 @@
 	writeEvent('promotion_due', {
 		group: record.group, primary: record.primary, term: record.term, reason: cause.reason, fence: promotionLease.fence,
 	});
-	const version = await submitPrimacies(controller, state, [{record, expected: primacy.version}], promotionLease);
+	const version = await submitPrimacies(services, state, [{record, expected: primacy.version}], promotionLease);
 	if (version !== undefined) {
 		controller.firstSeenAt.set(record.promotion!.id, clock.readNow());
 		startPromotionRun(controller, {record, version}, promotionLease);
 	}
 }
 
-/** Writes the promotion lease and primacy records in one transaction; resolves to its version, or nothing on a conflict. */
-async function submitPrimacies(
-	{services}: Controller,
-	state: FleetState,
-	changes: ReadonlyArray<{readonly record: PrimacyRecord; readonly expected: number}>,
-	promotionLease: PromotionLeaseRecord,
-): Promise<number | undefined> {
-	const transaction: StoreTransaction = {
-		expected: [
-			{table: FLEET_TABLE, key: PROMOTION_LEASE_KEY, version: state.duty?.version ?? 0},
-			...changes.map(({record, expected}) => ({table: FLEET_TABLE, key: `${PRIMACY_PREFIX}${record.group}`, version: expected})),
-		],
-		puts: [
-			{table: FLEET_TABLE, key: PROMOTION_LEASE_KEY, value: JSON.stringify(promotionLease)},
-			...changes.map(({record}) => ({table: FLEET_TABLE, key: `${PRIMACY_PREFIX}${record.group}`, value: JSON.stringify(record)})),
-		],
-		removed: [],
-	};
-	const result = await services.store.writeRows(transaction, services.clock.readNow() + STORE_TIMEOUT_MS);
-	services.refreshFleet();
-	if (result.kind === 'conflict') {
-		services.writeEvent('promotion_lost_race', {groups: changes.map(({record}) => record.group).join(',')});
-		return undefined;
-	}
-
-	// The next step may run before the follower receives this change from the store.
-	services.blackboard.update(current => ({
-		...current,
-		duty: (current.duty?.version ?? 0) < result.version ? {record: promotionLease, version: result.version} : current.duty,
-	}));
-	changes.map(({record}) => ({record, version: result.version})).forEach(written => {
-		services.blackboard.update(current => applyPrimacy(current, written));
-		services.sendPrimacy(written);
-	});
-	return result.version;
-}
-
 function startPromotionRun(controller: Controller, primacy: Versioned<PrimacyRecord>, promotionLease: PromotionLeaseRecord): void {
 	const {services, runningGroups, firstSeenAt, lastKnownUpstreams, signal} = controller;
 	const {group, promotion, primary} = primacy.record;
--- a/packages/heatherpond-fleet/src/usage-exchange.ts
+++ b/packages/heatherpond-fleet/src/usage-exchange.ts
@@ -6,12 +6,13 @@
 import {runPeriodically, type Instant} from 'heatherpond-core';
 import type {FindDomainLeader} from './domain-leader.js';
 import {
-	createDomainPeers, DIGEST_EXPIRY_MS, REPORT_EXPIRY_MS, type ReceivedReport,
+	createDomainPeers, DIGEST_EXPIRY_MS, type ReceivedReport,
 } from './domain-peers.js';
 import type {FleetServices} from './fleet-services.js';
 import {registerClockListener} from './fleet-state.js';
 import type {HostContact, RegisteredIncarnation} from './host-message.js';
 import type {HostMessages} from './host-messages.js';
+import {createRemoteDomains} from './remote-domains.js';
 import {countTeamDemand, createDatabaseUsageCache, computeTotalUsage} from './remote-usage.js';
 import type {TeamUsage} from './team-limits.js';
 import type {DomainDigest, DomainUsage, UsageReport} from './usage-report.js';
@@ -22,14 +23,10 @@
 const MAX_MESH_HOSTS = 6;
 /** Minimum time between two digests that answer the digest of another host, in milliseconds. */
 const MIN_DIGEST_REPLY_INTERVAL_MS = 100;
-/** Age up to which reports are kept, in milliseconds; until then the last report of a silent domain still counts as its demand. */
-const REPORT_RETENTION_MS = 15_000;
 /** Age of the last report up to which a domain peer counts as in contact with this host, in milliseconds: one interval and a margin. */
 const CONTACT_EXPIRY_MS = 1600;
 /** Time after the start of a host for which every domain counts that has not reported, even if none of its hosts is known, in milliseconds. */
 const DOMAIN_START_MS = 5000;
-/** Number of hosts that receive the domain's report in a domain from which no recent report has come. */
-const RECEIVERS_PER_SILENT_DOMAIN = 2;
 /**
  * Number of own reports whose send times are kept. A domain leader registers this host on the basis of one of its reports;
  * a registration based on an older report is of no use.
@@ -94,8 +91,7 @@
 		clock, identity, readRegistered: () => messages.readPeers().filter(({domain}) => domain === identity.domain),
 	});
 	const startedAt = clock.readNow();
-	/** Last report of each other failure domain, by domain. */
-	const domainReports = new Map<string, ReceivedReport>();
+	const remoteDomains = createRemoteDomains(clock);
 	let sequence = 0;
 	let lastOwnUsage: HostUsage = {isVerified: false, teams: {}, databases: {}};
 	/** Send times of the last reports, by sequence number. */
@@ -103,10 +99,6 @@
 	let lastDigestReplyAt: Instant = Number.NEGATIVE_INFINITY;
 	let stopDigestTimer = (): void => undefined;
 
-	function isRecent({receivedAt}: ReceivedReport): boolean {
-		return receivedAt + REPORT_EXPIRY_MS > clock.readNow();
-	}
-
 	function createReport(hasLeft = false): UsageReport {
 		const now = clock.readNow();
 		sequence++;
@@ -129,7 +121,7 @@
 		if (!leader && !isDiscovering()) {
 			const digest = createDigest(report);
 			messages.sendDigest(digest, peers.readContacts());
-			messages.sendUsage({...report, ...digest.usage, isOfDomain: true}, findRemoteReceivers());
+			messages.sendUsage({...report, ...digest.usage, isOfDomain: true}, remoteDomains.findReceivers(readRemoteHosts()));
 			return;
 		}
 
@@ -148,14 +140,6 @@
 		return digest ? digest.members.length - 1 : peers.readReports().filter(({receivedAt}) => receivedAt + CONTACT_EXPIRY_MS > clock.readNow()).length;
 	}
 
-	function removeExpired(): void {
-		peers.removeExpired();
-		const oldest = clock.readNow() - REPORT_RETENTION_MS;
-		[...domainReports].filter(([, {receivedAt}]) => receivedAt < oldest).forEach(([domain]) => {
-			domainReports.delete(domain);
-		});
-	}
-
 	function applyReport(report: UsageReport, isRelayed: boolean): void {
 		const isDomainPeer = report.domain === identity.domain;
 		// Reports of the own domain must come from single hosts; those of other domains must be sums over the domain.
@@ -190,13 +174,7 @@
 	}
 
 	function applyDomainReport(report: UsageReport, isRelayed: boolean): void {
-		const last = domainReports.get(report.domain)?.report;
-		if (last?.incarnation === report.incarnation && last.sequence >= report.sequence) {
-			return;
-		}
-
-		domainReports.set(report.domain, {report, receivedAt: clock.readNow()});
-		if (!isRelayed) {
+		if (remoteDomains.applyReport(report) && !isRelayed) {
 			messages.sendRelayed(report, peers.readContacts());
 		}
 	}
@@ -218,15 +196,8 @@
 		}
 	}
 
-	/** Finds the host of each other domain that sends its reports, or its first hosts by name while no recent report is known. */
-	function findRemoteReceivers(): readonly HostContact[] {
-		const remoteHosts = messages.readPeers().filter(({domain}) => domain !== identity.domain);
-		return [...new Set(remoteHosts.map(({domain}) => domain))].flatMap(domain => {
-			const received = domainReports.get(domain);
-			const hosts = remoteHosts.filter(peer => peer.domain === domain).toSorted((left, right) => left.host < right.host ? -1 : 1);
-			const sender = received && isRecent(received) ? hosts.find(({host}) => host === received.report.host) : undefined;
-			return sender ? [sender] : hosts.slice(0, RECEIVERS_PER_SILENT_DOMAIN);
-		});
+	function readRemoteHosts(): readonly HostContact[] {
+		return messages.readPeers().filter(({domain}) => domain !== identity.domain);
 	}
 
 	/** Reads the usage of the other hosts of the domain. */
@@ -235,15 +206,15 @@
 		return digest ? computeOthersUsage(digest.usage, lastOwnUsage) : computeTotalUsage(peers.readReports().map(({report}) => report));
 	}
 
-	const databaseUsage = createDatabaseUsageCache(clock, () => [readPeerUsage(), ...[...domainReports.values()].filter(isRecent).map(({report}) => report)]);
+	const databaseUsage = createDatabaseUsageCache(clock, () => [readPeerUsage(), ...remoteDomains.readRecent()]);
 
 	function readTeam(team: string): TeamUsage {
 		const registered = messages.readPeers();
-		const known = [...domainReports.values()].map(({report}) => report);
+		const known = remoteDomains.readKnown();
 		const peerCount = registered.filter(({domain}) => domain === identity.domain).length;
 		const liveDomainHosts = countLivePeers() + 1;
 		const otherDomains = clock.readNow() < startedAt + DOMAIN_START_MS ? domains : registered.map(({domain}) => domain);
-		const unreportedDomains = new Set(otherDomains.filter(domain => domain !== identity.domain && !domainReports.has(domain)));
+		const unreportedDomains = new Set(otherDomains.filter(domain => domain !== identity.domain && !remoteDomains.hasReported(domain)));
 		const digest = readTrustedDigest();
 		return {
 			otherDomains: {
@@ -258,7 +229,8 @@
 
 	void runPeriodically(clock, REPORT_INTERVAL_MS, async () => {
 		sendReport();
-		removeExpired();
+		peers.removeExpired();
+		remoteDomains.removeExpired();
 	}, signal);
 	// A host learns its peers when it is registered, and then reports at once so that they know its new incarnation.
 	const stopListening = services.blackboard.registerListener(({registeredAt}) => registeredAt, sendReport);
@@ -281,25 +253,14 @@
 				sendReport();
 			}
 		},
-		findLeaderOf(domain) {
-			const received = domainReports.get(domain);
-			if (domain === identity.domain) {
-				return peers.findLeader();
-			}
-
-			return received && isRecent(received) ? received.report : undefined;
-		},
+		findLeaderOf: domain => domain === identity.domain ? peers.findLeader() : remoteDomains.findLeaderOf(domain),
 		readLeaders() {
 			const own = peers.findLeader();
-			return [...(own ? [own] : []), ...[...domainReports.values()].filter(isRecent).map(({report}) => report)];
+			return [...(own ? [own] : []), ...remoteDomains.readRecent()];
 		},
-		readOtherLeaders: team => [...domainReports.values()]
-			.filter(isRecent)
-			.map(({report}) => report)
-			.toSorted((left, right) => countTeamDemand([left], team) - countTeamDemand([right], team)),
-		readVerifiedLeaders: () => [...domainReports.values()]
-			.filter(received => isRecent(received) && received.report.isVerified)
-			.map(({report}) => report)
+		readOtherLeaders: team => remoteDomains.readRecent().toSorted((left, right) => countTeamDemand([left], team) - countTeamDemand([right], team)),
+		readVerifiedLeaders: () => remoteDomains.readRecent()
+			.filter(({isVerified}) => isVerified)
 			.toSorted((left, right) => left.domain < right.domain ? -1 : 1),
 		readTeam,
 		sendDeparture() {
@@ -308,7 +269,7 @@
 		findDomainLeader: peers.findLeader,
 		readReceivedReports: peers.readReports,
 		findSentAt: registered => registered.incarnation === identity.incarnation ? sentAt.get(registered.sequence) : undefined,
-		isVerifiedElsewhere: () => readPeerUsage().isVerified || [...domainReports.values()].some(received => isRecent(received) && received.report.isVerified),
+		isVerifiedElsewhere: () => readPeerUsage().isVerified || remoteDomains.readRecent().some(({isVerified}) => isVerified),
 		countRemoteStatements: database => databaseUsage.read(database).statements,
 		countRemoteConnections: database => databaseUsage.read(database).connections,
 	};
