Do not count a registration that the store lost while it was being written

Cause: a registration written right before a restore, whose answer arrives after the host has learned of the new era, counted in that era, though its row was lost and no promotion would wait for the host. Change: a registration counts only if it was written in the era that the host has seen last; peers are notified at once. store-restore.test.ts has the case; it fails on the code before.

--- a/packages/heatherpond-fleet/src/__tests__/unit/store-restore.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/store-restore.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, test} from '@jest/globals';
 import {createFakeClock} from 'heatherpond-core';
 import {
-	createMemoryStore, createStoreVersion, HOSTS_TABLE, LEASE_MS, readEra, readRowVersion, type StoreCopy,
+	applyStoreEra, createMemoryStore, createStoreVersion, HOSTS_TABLE, LEASE_MS, readEra, readRowVersion, type StoreCopy,
 } from '../../index.js';
 import {advance} from '../support/steps.js';
 import {
@@ -261,6 +261,22 @@
 		fleet.stop();
 	});
 
+	test('does not count a registration that was written before the restore and answered after it', async () => {
+		const fleet = createTestFleet(HOSTS.slice(0, 1));
+		const {blackboard} = fleet.hosts[0]!.host;
+		fleet.store.setFaults(({kind}) => {
+			if (kind === 'write') {
+				// The host learns of the new era from a read while its write is under way.
+				blackboard.update(state => applyStoreEra(state, 1, fleet.clock.readNow()));
+			}
+
+			return undefined;
+		});
+		await advance(fleet.clock, 500);
+		expect(blackboard.read()).toMatchObject({storeEra: 1, registeredUntil: Number.NEGATIVE_INFINITY});
+		fleet.stop();
+	});
+
 	test('registers again, through the domain leader', async () => {
 		const fleet = createTestFleet(HOSTS);
 		const copy = fleet.store.createCopy();
--- a/packages/heatherpond-fleet/src/host-registration.ts
+++ b/packages/heatherpond-fleet/src/host-registration.ts
@@ -16,6 +16,7 @@
 import {REGISTRATION_MS} from './promotion-decisions.js';
 import {createPeerRecord, findExpiredHosts, findPeersToRegister} from './registration-decisions.js';
 import {StoreError, type TablePage} from './store-port.js';
+import {readEra} from './store-version.js';
 import type {ReceivedReport} from './domain-peers.js';
 
 /** Dependencies of the registration. */
@@ -214,8 +215,8 @@
 		}
 
 		applyRefresh(services, sentAt);
-		await readEarlierHosts(registration);
 		sendRegistrations(registration, peers.slice(0, MAX_REGISTERED_PER_TRANSACTION - 1));
+		await readEarlierHosts(registration);
 		return await writeFurtherRegistrations(registration, peers.slice(MAX_REGISTERED_PER_TRANSACTION - 1), offset);
 	} catch (error) {
 		if (!(error instanceof StoreError)) {
@@ -242,7 +243,10 @@
 	return writeFurtherRegistrations(registration, peers.slice(MAX_REGISTERED_PER_TRANSACTION), offset);
 }
 
-/** Writes registrations and removes others in one transaction; resolves to whether no row had changed in the meantime. */
+/**
+ * Writes registrations and removes others in one transaction; resolves to whether they count: no row had changed in the
+ * meantime, and the store has not come back from an older copy since.
+ */
 async function writeRegistrations(registration: Registration, {records, removed}: {readonly records: readonly HostRecord[]; readonly removed: readonly string[]}): Promise<boolean> {
 	const {services: {store, clock, blackboard}} = registration;
 	const result = await store.writeRows({
@@ -250,7 +254,7 @@
 		puts: records.map(record => ({table: HOSTS_TABLE, key: record.host, value: JSON.stringify(record)})),
 		removed: removed.map(key => ({table: HOSTS_TABLE, key})),
 	}, clock.readNow() + STORE_TIMEOUT_MS);
-	if (result.kind === 'conflict') {
+	if (result.kind === 'conflict' || readEra(result.version) !== (blackboard.read().storeEra ?? readEra(result.version))) {
 		registration.listReadAt = Number.NEGATIVE_INFINITY;
 		return false;
 	}
