Let periodic messages between two hosts share datagrams, and look less often for what is due

Cause: on a host beside 73 others each wake-up costs 0.5 to 1.5 ms, and a host that does nothing had about 27 a second.

--- a/packages/heatherpond-core/src/loop.ts
+++ b/packages/heatherpond-core/src/loop.ts
@@ -1,6 +1,9 @@
 /** A loop whose steps decide when the next one is due, and which can be woken earlier. */
 import {waitUntil, type Clock, type Deadline} from './clock.js';
 
+/** Reason with which a pause ends early. */
+const WOKEN = 'woken';
+
 /** A running loop. */
 export type Loop = {
 	/** Runs the next step at once, or right after the one in progress. */
@@ -27,7 +30,8 @@
 	}
 
 	function endPause(): void {
-		pause.abort();
+		// Without a reason, an error with a stack trace would be created.
+		pause.abort(WOKEN);
 	}
 
 	signal.addEventListener('abort', endPause, {once: true});
--- a/packages/heatherpond-fleet/src/__tests__/unit/fleet-views.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/fleet-views.test.ts
@@ -88,7 +88,7 @@
 		const seen: TableUpdate[] = [];
 		store.writeRow('t', 'a', '1');
 		startTableFollower({
-			store: store.createPort('host'), clock, table: 't', readIntervalMs: () => 100, random: () => 0, signal: lifetime.signal,
+			store: store.createPort('host'), clock, table: 't', readIntervalMs: () => 100, random: () => 0, phase: 0, signal: lifetime.signal,
 			applyUpdate(update) {
 				seen.push(update);
 			},
@@ -110,7 +110,7 @@
 		const lifetime = new AbortController();
 		const seen: TableUpdate[] = [];
 		startTableFollower({
-			store: store.createPort('host'), clock, table: 't', readIntervalMs: () => 100, random: () => 0, signal: lifetime.signal,
+			store: store.createPort('host'), clock, table: 't', readIntervalMs: () => 100, random: () => 0, phase: 0, signal: lifetime.signal,
 			applyUpdate(update) {
 				seen.push(update);
 			},
@@ -129,7 +129,7 @@
 		const failures: string[] = [];
 		store.setFaults(() => clock.readNow() < 300 ? 'silent' : undefined);
 		const follower = startTableFollower({
-			store: store.createPort('host'), clock, table: 't', readIntervalMs: () => 100, random: () => 0, signal: lifetime.signal,
+			store: store.createPort('host'), clock, table: 't', readIntervalMs: () => 100, random: () => 0, phase: 0, signal: lifetime.signal,
 			applyUpdate(update) {
 				seen.push(update);
 			},
@@ -153,7 +153,7 @@
 		let failures = 0;
 		store.setFaults(() => clock.readNow() < 2000 ? 'silent' : undefined);
 		startTableFollower({
-			store: store.createPort('host'), clock, table: 't', readIntervalMs: () => 100, random: () => 0, signal: lifetime.signal,
+			store: store.createPort('host'), clock, table: 't', readIntervalMs: () => 100, random: () => 0, phase: 0, signal: lifetime.signal,
 			applyUpdate() {
 				responses++;
 			},
--- a/packages/heatherpond-fleet/src/fleet-followers.ts
+++ b/packages/heatherpond-fleet/src/fleet-followers.ts
@@ -1,20 +1,24 @@
 /** Follows the contract, registration and fleet tables of the store, and applies their updates to the fleet state. */
+import type {Instant} from 'heatherpond-core';
 import {applyFleetUpdate} from './apply-fleet-update.js';
 import {applyUpstreamUpdate, EMPTY_UPSTREAM_VIEW, removeExpiredUpstreams} from './apply-upstream-update.js';
 import type {FindDomainLeader} from './domain-leader.js';
 import type {FleetHostOptions} from './fleet-host.js';
 import {FLEET_TABLE} from './fleet-records.js';
-import {applySuspension, type FleetBlackboard} from './fleet-state.js';
+import {applySuspension, type FleetBlackboard, type FleetState} from './fleet-state.js';
 import type {StorePort} from './store-port.js';
 import {applyStoreEra, CONTRACTS_SETTLE_MS, isOutdated} from './store-restore.js';
 import {readEra} from './store-version.js';
 import type {TableCache} from './table-cache.js';
+import {PEER_POLL_INTERVAL_MS} from './poll-schedule.js';
 import {startTableFollower, type TableFollower, type TableUpdate} from './table-follower.js';
 
 /** Options and shared state of a host whose tables are followed. */
 export type HostContext = FleetHostOptions & {
 	readonly blackboard: FleetBlackboard;
 	readonly followers: TableFollower[];
+	/** An instant of the schedule of this host's polls. */
+	readonly pollPhase: Instant;
 	/** Rows from which this host responds to requests of its domain peers. */
 	readonly cache: TableCache;
 	/** Finds the domain leader; nothing when this host is the leader. */
@@ -30,11 +34,9 @@
  * timeout, the poll intervals keep verifications recent enough for leases and for the revocation of keys.
  */
 const LEADER_POLL_INTERVAL_MS = 800;
-/** Milliseconds between requests of other hosts to the domain leader. */
-const PEER_POLL_INTERVAL_MS = 800;
 /** Milliseconds between requests while a host does not know enough yet to accept clients. */
 const STARTUP_POLL_INTERVAL_MS = 700;
-/** Milliseconds between requests while a promotion is in progress. */
+/** Milliseconds between requests of a domain leader while a promotion is in progress; the others learn of its steps from messages. */
 const PROMOTION_POLL_INTERVAL_MS = 200;
 
 /** Starts the followers of the contract, registration and fleet tables; returns that of the fleet table. */
@@ -52,11 +54,29 @@
 			host.blackboard.update(state => ({...state, upstreams: view.upstreams, upstreamsVerifiedAt: update.requestedAt}));
 		},
 	});
-	return startFollower(host, {
+	const fleet = startFollower(host, {
 		table: FLEET_TABLE, readIntervalMs: () => readFleetPollInterval(host), applyUpdate(update) {
 			host.blackboard.update(state => applyFleetUpdate(state, update));
 		},
 	});
+	registerPromotionEndListener(host.blackboard, fleet.refresh);
+	return fleet;
+}
+
+/** Calls the listener when a promotion has ended: the lease of the new primary starts with the next response of the store. */
+function registerPromotionEndListener(blackboard: FleetBlackboard, listener: () => void): void {
+	let before = 0;
+	blackboard.registerListener(countPromotions, count => {
+		if (count < before) {
+			listener();
+		}
+
+		before = count;
+	});
+}
+
+function countPromotions({primacies}: FleetState): number {
+	return [...primacies.values()].filter(({record}) => record.promotion).length;
 }
 
 function readPollInterval({findDomainLeader}: HostContext): number {
@@ -64,21 +84,21 @@
 }
 
 function readFleetPollInterval(host: HostContext): number {
-	const {primacies} = host.blackboard.read();
-	if (primacies.size === 0) {
+	const state = host.blackboard.read();
+	if (state.primacies.size === 0) {
 		return STARTUP_POLL_INTERVAL_MS;
 	}
 
-	return [...primacies.values()].some(({record}) => record.promotion) ? PROMOTION_POLL_INTERVAL_MS : readPollInterval(host);
+	return countPromotions(state) > 0 && !host.findDomainLeader() ? PROMOTION_POLL_INTERVAL_MS : readPollInterval(host);
 }
 
 type FollowedTable = {readonly table: string; readonly readIntervalMs: () => number; readonly applyUpdate: (update: TableUpdate) => void};
 
 function startFollower(host: HostContext, {table, readIntervalMs, applyUpdate}: FollowedTable): TableFollower {
-	const {domainStore, cache, clock, random, signal, writeEvent, followers, waitUntilDiscovered} = host;
+	const {domainStore, cache, clock, random, signal, writeEvent, followers, waitUntilDiscovered, pollPhase} = host;
 	let isFailing = false;
 	const follower = startTableFollower({
-		store: domainStore, clock, table, readIntervalMs, random, signal, waitUntilStart: waitUntilDiscovered,
+		store: domainStore, clock, table, readIntervalMs, random, phase: pollPhase, signal, waitUntilStart: waitUntilDiscovered,
 		applyUpdate(update) {
 			checkSuspension(host);
 			if (!checkStoreEra(host, update.page.version)) {
--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -28,6 +28,7 @@
 import {createPrimaryWork} from './primary-work.js';
 import {startPromotionController} from './promotion-controller.js';
 import {createRelayClient} from './relay-client.js';
+import {PEER_POLL_INTERVAL_MS} from './poll-schedule.js';
 import {startRelayServer} from './relay-server.js';
 import type {RowChange, StorePort} from './store-port.js';
 import {isOutdated} from './store-restore.js';
@@ -92,7 +93,7 @@
 /** Milliseconds within which a connection to a database must be established. */
 const CONNECT_TIMEOUT_MS = 500;
 /** Milliseconds between maintenance runs: suspension check and refresh of the connection pools. */
-const MAINTENANCE_INTERVAL_MS = 250;
+const MAINTENANCE_INTERVAL_MS = 1000;
 /** Milliseconds after the start of a host for which clients wait for its registration, which usually follows within a few round trips. */
 const START_MS = 2000;
 /** Idle timeout of a transaction in milliseconds before the contracts have been read. */
@@ -103,9 +104,12 @@
 	const {clock, signal, writeEvent, random, identity, readRegion} = options;
 	const blackboard = createBlackboard<FleetState>(EMPTY_FLEET_STATE);
 	const startedAt = clock.readNow();
+	const pollPhase = startedAt + (random() * PEER_POLL_INTERVAL_MS);
 	const usage: {exchange?: UsageExchange} = {};
 	const registrations: {current?: HostRegistration} = {};
-	const messages = createHostMessages({blackboard, clock, identity}, options.datagrams);
+	const messages = createHostMessages({
+		blackboard, clock, identity, writeEvent,
+	}, options.datagrams);
 	function findDomainLeader(): HostContact | undefined {
 		return usage.exchange?.findDomainLeader();
 	}
@@ -128,7 +132,7 @@
 		},
 	});
 	const host: HostContext = {
-		...options, blackboard, followers: [], cache: createTableCache(), findDomainLeader, domainStore, waitUntilDiscovered: discovery.waitUntilDone,
+		...options, blackboard, pollPhase, followers: [], cache: createTableCache(), findDomainLeader, domainStore, waitUntilDiscovered: discovery.waitUntilDone,
 	};
 	const fleet = startFollowers(host);
 	const services: FleetServices = {
@@ -168,10 +172,11 @@
 		isStopping: () => blackboard.read().isStopping,
 	});
 	usage.exchange = startUsageExchange({
-		services, messages, domains: options.domains, signal, isDiscovering: () => !discovery.isDone(),
+		services, messages, domains: options.domains, pollPhase, signal, isDiscovering: () => !discovery.isDone(),
 		handleNewPeer() {
 			registrations.current?.registerNewPeers();
 		},
+		recordReported: limits.recordReported,
 		readHostUsage: () => ({isVerified: isHealthy(blackboard.read(), clock.readNow()), teams: limits.readUsage(), databases: upstreams.readUsage()}),
 	});
 	registrations.current = startHostRegistration({
--- a/packages/heatherpond-fleet/src/host-messages.ts
+++ b/packages/heatherpond-fleet/src/host-messages.ts
@@ -3,6 +3,7 @@
 import {
 	parseRecord, type ConfirmationRecord, type HostRecord, type PrimacyRecord, type SuspicionRecord,
 } from './fleet-records.js';
+import {createDatagramBatches, type SendOptions} from './datagram-batches.js';
 import {createDatagramParts, type DatagramPort} from './datagram-parts.js';
 import type {RequestChanges} from './domain-leader.js';
 import type {SeedAddress} from './host-discovery.js';
@@ -22,6 +23,12 @@
 /** Time for which the peers that were found are reused, in milliseconds. */
 const PEERS_CACHE_MS = 250;
 
+/** Time for which periodic messages to the same host are gathered, in milliseconds. */
+export const GATHERING_MS = 3;
+
+/** A request for the changes of a table. */
+type QuestionMessage = Extract<RequestMessage, {readonly kind: 'question'}>;
+
 /** Peers found among a list of hosts. */
 type FoundPeers = {readonly hosts: ReadonlyMap<string, HostRecord>; readonly storeClockOffset: number; readonly until: Instant; readonly found: readonly HostRecord[]};
 
@@ -50,10 +57,12 @@
 
 /** Sends messages to peers: the other hosts whose registration may be valid, so that they may rely on leases. */
 export type HostMessages = {
-	readonly sendUsage: (report: UsageReport, receivers: readonly HostContact[]) => void;
+	/** Sends a report, at the latest by `sendBy`; until then it waits for another message to the same host. */
+	readonly sendUsage: (report: UsageReport, receivers: readonly HostContact[], sendBy?: Deadline) => void;
 	/** Relays the report of another domain to hosts of the own domain. */
-	readonly sendRelayed: (report: UsageReport, receivers: readonly HostContact[]) => void;
-	readonly sendDigest: (digest: DomainDigest, receivers: readonly HostContact[]) => void;
+	readonly sendRelayed: (report: UsageReport, receivers: readonly HostContact[], sendBy: Deadline) => void;
+	/** Sends a digest that is created when it is sent, because it tells how long hosts have been running. */
+	readonly sendDigest: (createDigest: () => DomainDigest, receivers: readonly HostContact[], sendBy?: Deadline) => void;
 	/** Introduces this host to a seed. */
 	readonly sendIntroduction: (seed: SeedAddress) => void;
 	/** Notifies the hosts of the own failure domain which registrations this one has refreshed. */
@@ -74,8 +83,8 @@
 };
 
 /** Creates the exchange of messages; received ones are handled once handlers are registered. */
-export function createHostMessages({blackboard, clock, identity}: Pick<FleetServices, 'blackboard' | 'clock' | 'identity'>, port: DatagramPort): HostMessages {
-	const datagrams = createDatagramParts(port, clock, identity.incarnation);
+export function createHostMessages({blackboard, clock, identity, writeEvent}: Pick<FleetServices, 'blackboard' | 'clock' | 'identity' | 'writeEvent'>, port: DatagramPort): HostMessages {
+	const datagrams = createDatagramBatches(createDatagramParts(port, clock, identity.incarnation), clock);
 	let peers: FoundPeers | undefined;
 
 	/** Finds the peers; every statement needs them, so the result is reused until the list of hosts changes, and for a short time at most. */
@@ -107,7 +116,7 @@
 		pendingRequests.delete(id);
 	}
 
-	async function sendRequest({address, port}: HostContact, createRequest: (id: string) => HostMessage, deadline: Deadline): Promise<ResponseMessage | undefined> {
+	async function sendRequest(receiver: HostContact, createRequest: (id: string) => HostMessage, {deadline, sendBy}: {readonly deadline: Deadline; readonly sendBy?: Deadline}): Promise<ResponseMessage | undefined> {
 		requestCount++;
 		const id = `${identity.incarnation}-${requestCount}`;
 		return new Promise<ResponseMessage | undefined>(resolve => {
@@ -118,16 +127,16 @@
 				stopTimer();
 				resolve(response);
 			});
-			datagrams.send(JSON.stringify(createRequest(id)), address, port);
+			datagrams.send(() => JSON.stringify(createRequest(id)), receiver, sendBy === undefined ? undefined : {sendBy});
 		});
 	}
 
 	const {address: ownAddress, port: ownPort, host, incarnation, domain: ownDomain} = identity;
 
-	function sendTo(receivers: readonly HostContact[], message: HostMessage): void {
+	function sendTo(receivers: readonly HostContact[], message: HostMessage, options?: SendOptions): void {
 		const text = JSON.stringify(message);
-		receivers.forEach(({address, port}) => {
-			datagrams.send(text, address, port);
+		receivers.forEach(receiver => {
+			datagrams.send(() => text, receiver, options);
 		});
 	}
 
@@ -136,14 +145,16 @@
 	}
 
 	return {
-		sendUsage(report, receivers) {
-			sendTo(receivers, {kind: 'usage', report, isRelayed: false});
+		sendUsage(report, receivers, sendBy) {
+			sendTo(receivers, {kind: 'usage', report, isRelayed: false}, sendBy === undefined ? undefined : {sendBy});
 		},
-		sendRelayed(report, receivers) {
-			sendTo(receivers, {kind: 'usage', report, isRelayed: true});
+		sendRelayed(report, receivers, sendBy) {
+			sendTo(receivers, {kind: 'usage', report, isRelayed: true}, {sendBy, topic: report.domain});
 		},
-		sendDigest(digest, receivers) {
-			sendTo(receivers, {kind: 'digest', digest});
+		sendDigest(createDigest, receivers, sendBy) {
+			receivers.forEach(receiver => {
+				datagrams.send(() => JSON.stringify({kind: 'digest', digest: createDigest()} satisfies HostMessage), receiver, {sendBy: sendBy ?? clock.readNow(), topic: 'digest'});
+			});
 		},
 		sendIntroduction(seed) {
 			const introduction: HostMessage = {
@@ -151,7 +162,7 @@
 					host, incarnation, domain: ownDomain, address: ownAddress, port: ownPort,
 				},
 			};
-			datagrams.send(JSON.stringify(introduction), seed.address, seed.port);
+			datagrams.send(() => JSON.stringify(introduction), seed);
 		},
 		readPeers: findPeers,
 		sendRegistered(news) {
@@ -163,7 +174,7 @@
 		async requestConfirmation(receiver, record, deadline) {
 			const response = await sendRequest(receiver, id => ({
 				kind: 'confirmation', id, record, address: ownAddress, port: ownPort,
-			}), deadline);
+			}), {deadline});
 			return response?.kind === 'confirmed';
 		},
 		sendSuspicion(record, isSuspected, receivers) {
@@ -172,7 +183,7 @@
 		async requestChanges(receiver, {table, after}, deadline) {
 			const response = await sendRequest(receiver, id => ({
 				kind: 'question', id, table, after, address: ownAddress, port: ownPort,
-			}), deadline);
+			}), {deadline, sendBy: clock.readNow() + GATHERING_MS});
 			if (response?.kind !== 'answer') {
 				return {kind: 'silent'};
 			}
@@ -186,54 +197,70 @@
 		async requestGrant(receiver, {team, wanted}, deadline) {
 			const response = await sendRequest(receiver, id => ({
 				kind: 'grant-question', id, team, wanted, address: ownAddress, port: ownPort,
-			}), deadline);
+			}), {deadline});
 			return response?.kind === 'grant' ? response : undefined;
 		},
 		async requestTransfer(receiver, {team, wanted}, deadline) {
 			const response = await sendRequest(receiver, id => ({
 				kind: 'transfer-question', id, team, wanted, address: ownAddress, port: ownPort,
-			}), deadline);
+			}), {deadline});
 			return response?.kind === 'transfer' ? response.given : 0;
 		},
 		registerHandlers(handlers) {
 			datagrams.registerListener(text => {
-				const message = parseRecord(hostMessageSchema, text);
-				switch (message?.kind) {
-					case 'question':
-					case 'confirmation':
-					case 'transfer-question':
-					case 'grant-question': {
-						void createResponse(message, handlers).then(response => {
-							datagrams.send(JSON.stringify(response), message.address, message.port);
-						});
-						break;
-					}
-
-					case 'introduction': {
-						const named: HostMessage = {kind: 'introduced', hosts: [...handlers.handleIntroduction(message.host)]};
-						sendTo([message.host], named);
-						break;
-					}
-
-					case 'answer':
-					case 'confirmed':
-					case 'transfer':
-					case 'grant': {
-						handleResponse(message.id, message);
-						break;
-					}
-
-					default: {
-						handleNotification(message, handlers);
-						break;
-					}
+				try {
+					handleMessage(parseRecord(hostMessageSchema, text), handlers);
+				} catch (error) {
+					recordFault(error);
 				}
 			});
 		},
 	};
+
+	function handleMessage(message: HostMessage | undefined, handlers: HostMessageHandlers): void {
+		switch (message?.kind) {
+			case 'question': {
+				const answer = JSON.stringify(createAnswer(message, handlers));
+				datagrams.send(() => answer, message);
+				break;
+			}
+
+			case 'confirmation':
+			case 'transfer-question':
+			case 'grant-question': {
+				createResponse(message, handlers).then(response => {
+					datagrams.send(() => JSON.stringify(response), message);
+				}).catch(recordFault);
+				break;
+			}
+
+			case 'introduction': {
+				sendTo([message.host], {kind: 'introduced', hosts: [...handlers.handleIntroduction(message.host)]});
+				break;
+			}
+
+			case 'answer':
+			case 'confirmed':
+			case 'transfer':
+			case 'grant': {
+				handleResponse(message.id, message);
+				break;
+			}
+
+			default: {
+				handleNotification(message, handlers);
+				break;
+			}
+		}
+	}
+
+	/** Logs the failure to handle a message; it must not end the process, and the next message is handled as usual. */
+	function recordFault(error: unknown): void {
+		writeEvent('message_fault', {reason: error instanceof Error ? error.stack : String(error)});
+	}
 }
 
-async function createResponse(request: RequestMessage, handlers: HostMessageHandlers): Promise<ResponseMessage> {
+async function createResponse(request: Exclude<RequestMessage, QuestionMessage>, handlers: HostMessageHandlers): Promise<ResponseMessage> {
 	if (request.kind === 'grant-question') {
 		return {kind: 'grant', id: request.id, ...await handlers.decideGrant(request.team, request.wanted)};
 	}
@@ -242,11 +269,12 @@
 		return {kind: 'transfer', id: request.id, given: handlers.decideTransfer(request.team, request.wanted)};
 	}
 
-	if (request.kind === 'confirmation') {
-		handlers.handleConfirmation(request.record);
-		return {kind: 'confirmed', id: request.id};
-	}
+	handlers.handleConfirmation(request.record);
+	return {kind: 'confirmed', id: request.id};
+}
 
+/** Creates the response to a request for changes at once, so that the responses to several requests share a datagram. */
+function createAnswer(request: QuestionMessage, handlers: HostMessageHandlers): ResponseMessage {
 	const changes = handlers.readTableChanges(request.table, request.after);
 	return changes.kind === 'page'
 		? {kind: 'answer', id: request.id, page: {...changes.page, rows: [...changes.page.rows]}}
--- a/packages/heatherpond-fleet/src/host-registration.ts
+++ b/packages/heatherpond-fleet/src/host-registration.ts
@@ -57,7 +57,7 @@
 /** Milliseconds between the initial refreshes. */
 const STARTUP_REFRESH_INTERVAL_MS = 500;
 /** Milliseconds between checks whether a refresh is due. */
-const CHECK_INTERVAL_MS = 400;
+const CHECK_INTERVAL_MS = 800;
 /** Milliseconds that a domain leader waits for more peers that have just started. */
 const NEW_PEERS_DELAY_MS = 60;
 /** Milliseconds after its start for which a host with a domain leader waits to be registered by it. */
--- a/packages/heatherpond-fleet/src/promotion-controller.ts
+++ b/packages/heatherpond-fleet/src/promotion-controller.ts
@@ -40,10 +40,15 @@
 	unrecordedSince: Instant;
 };
 
-/** Milliseconds between steps; a change of primaries, suspicions or databases triggers one at once. */
-const STEP_INTERVAL_MS = 250;
-/** Milliseconds between steps while a promotion is in progress or may become due. */
-const ACTIVE_STEP_INTERVAL_MS = 50;
+/**
+ * Milliseconds between steps while nothing is in progress, and while a promotion is or may become due. A change of primaries,
+ * suspicions or databases triggers a step at once; the intervals are for what becomes due with time, which hosts that are not
+ * preferred leave to the preferred ones for longer.
+ */
+const STEP_INTERVALS_MS = {
+	preferred: {idle: 250, active: 50},
+	other: {idle: 1000, active: 250},
+};
 const STORE_TIMEOUT_MS = 600;
 /** Maximum random delay in milliseconds before a host acts on a condition that all hosts observe. */
 const JITTER_MS = 120;
@@ -62,7 +67,7 @@
 	const loop = startLoop(clock, async () => {
 		const startedAt = clock.readNow();
 		await runStep(controller);
-		return startedAt + (isActive(controller) ? ACTIVE_STEP_INTERVAL_MS : STEP_INTERVAL_MS);
+		return startedAt + readStepInterval(controller);
 	}, signal);
 	const stopListening = [
 		blackboard.registerListener(({primacies}) => primacies, loop.wake),
@@ -76,6 +81,11 @@
 	}, {once: true});
 }
 
+function readStepInterval(controller: Controller): number {
+	const {idle, active} = STEP_INTERVALS_MS[controller.isPreferred() || controller.runningGroups.size > 0 ? 'preferred' : 'other'];
+	return isActive(controller) ? active : idle;
+}
+
 /** Whether there is work that must be continued without delay. */
 function isActive({services: {blackboard}, runningGroups, unrecordedSince}: Controller): boolean {
 	const state = blackboard.read();
--- a/packages/heatherpond-fleet/src/table-follower.ts
+++ b/packages/heatherpond-fleet/src/table-follower.ts
@@ -6,6 +6,7 @@
 import {
 	startLoop, type Clock, type Deadline, type Instant, type Loop,
 } from 'heatherpond-core';
+import {findNextPoll} from './poll-schedule.js';
 import {StoreError, type StorePort, type TablePage} from './store-port.js';
 
 /** A response about a table. */
@@ -31,6 +32,8 @@
 	/** Called with the error message of every failed request. */
 	readonly handleFailure: (reason: string) => void;
 	readonly random: () => number;
+	/** An instant of the schedule of polls. */
+	readonly phase: Instant;
 	/** Resolves when the first request may be sent; by default it is sent at once. */
 	readonly waitUntilStart?: () => Promise<void>;
 	readonly signal: AbortSignal;
@@ -51,8 +54,6 @@
 /** Bounds of the retry delay in milliseconds. */
 const MIN_RETRY_MS = 80;
 const MAX_RETRY_MS = 600;
-/** Fraction of the interval by which requests are randomly advanced, so that hosts do not poll in lockstep. */
-const JITTER_RATIO = 0.1;
 
 /** Starts to follow a table, until the signal aborts. */
 export function startTableFollower(options: TableFollowerOptions): TableFollower {
@@ -101,7 +102,7 @@
 			version = Math.max(version, update.page.version);
 			failures = 0;
 			options.applyUpdate(update);
-			return requestedAt + (options.readIntervalMs() * (1 - (options.random() * JITTER_RATIO)));
+			return findNextPoll(requestedAt, options.readIntervalMs(), options.phase);
 		} catch (error) {
 			failures++;
 			options.handleFailure(error instanceof Error ? error.message : String(error));
--- a/packages/heatherpond-fleet/src/team-limits.ts
+++ b/packages/heatherpond-fleet/src/team-limits.ts
@@ -41,8 +41,10 @@
 	readonly decideGrant: (team: string, wanted: number) => Promise<Grant>;
 	/** Handles the request of another domain's leader for tokens; returns how many it is given. */
 	readonly decideTransfer: (team: string, wanted: number) => number;
-	/** Operations per second that each team requests from this host, for the report to other hosts. Records them in the buckets. */
+	/** Operations per second that each team requests from this host, for the report to other hosts. */
 	readonly readUsage: () => Record<string, number>;
+	/** Records in the buckets that the present demand has been reported, so that all domains divide a limit by the same figures. */
+	readonly recordReported: () => void;
 };
 
 /** Dependencies of the limits. */
@@ -230,9 +232,6 @@
 				domainBuckets.clear();
 			}
 
-			[domainBuckets, ownBuckets].forEach(buckets => {
-				recordReportedDemands(buckets);
-			});
 			const now = clock.readNow();
 			return Object.fromEntries([...demands].flatMap(([team, rate]) => {
 				const limit = findLimit(team);
@@ -240,6 +239,11 @@
 				return perSecond > MIN_REPORTED_PER_SECOND ? [[team, Math.round(perSecond * 10) / 10]] : [];
 			}));
 		},
+		recordReported() {
+			[domainBuckets, ownBuckets].forEach(buckets => {
+				recordReportedDemands(buckets);
+			});
+		},
 	};
 
 	function recordReportedDemands(buckets: Map<string, TokenBucket>): void {
--- a/packages/heatherpond-fleet/src/usage-exchange.ts
+++ b/packages/heatherpond-fleet/src/usage-exchange.ts
@@ -3,7 +3,9 @@
  * a small domain, and while no digest arrives, they report to each other, so that they know whom to follow next. The leader also sends the sum
  * over its domain to one host of every other domain, which relays it to its domain peers.
  */
-import {runPeriodically, type Instant} from 'heatherpond-core';
+import {
+	runPeriodically, startLoop, type Deadline, type Instant,
+} from 'heatherpond-core';
 import type {FindDomainLeader} from './domain-leader.js';
 import {
 	createDomainPeers, DIGEST_EXPIRY_MS, type ReceivedReport,
@@ -11,14 +13,17 @@
 import type {FleetServices} from './fleet-services.js';
 import {registerClockListener} from './fleet-state.js';
 import type {HostContact, RegisteredIncarnation} from './host-message.js';
-import type {HostMessages} from './host-messages.js';
+import {GATHERING_MS, type HostMessages} from './host-messages.js';
+import {findNextPoll, PEER_POLL_INTERVAL_MS} from './poll-schedule.js';
 import {createRemoteDomains} from './remote-domains.js';
 import {countTeamDemand, createDatabaseUsageCache, computeTotalUsage} from './remote-usage.js';
 import type {TeamUsage} from './team-limits.js';
 import type {DomainDigest, DomainUsage, UsageReport} from './usage-report.js';
 
-/** Time between two reports of a host, in milliseconds. */
-const REPORT_INTERVAL_MS = 1200;
+/** Time between two reports of a failure domain to the others, in milliseconds. */
+const DOMAIN_REPORT_INTERVAL_MS = 1200;
+/** Time for which what a leader sends to its domain waits for the next response to each host, in milliseconds: one poll interval. */
+const RELAY_DELAY_MS = PEER_POLL_INTERVAL_MS;
 /** Number of hosts of a domain up to which they report to each other and not only to the leader. */
 const MAX_MESH_HOSTS = 6;
 /** Minimum time between two digests that answer the digest of another host, in milliseconds. */
@@ -76,7 +81,11 @@
 	readonly messages: HostMessages;
 	/** All failure domains of the deployment. */
 	readonly domains: readonly string[];
+	/** An instant of the schedule of this host's polls, with which it also reports. */
+	readonly pollPhase: Instant;
 	readonly readHostUsage: () => HostUsage;
+	/** Called when the demand of this host, or of its domain if it leads it, has been reported to those whose shares depend on it. */
+	readonly recordReported: () => void;
 	/** Whether this host still searches for the leader of its domain, and does not act as the leader until it has given up. */
 	readonly isDiscovering: () => boolean;
 	/** Called when a domain peer has sent its first report. */
@@ -85,7 +94,7 @@
 };
 
 /** Starts the exchange; it runs until the signal aborts. */
-export function startUsageExchange({services, messages, domains, readHostUsage, isDiscovering, handleNewPeer, signal}: UsageExchangeOptions): UsageExchange {
+export function startUsageExchange({services, messages, domains, pollPhase, readHostUsage, recordReported, isDiscovering, handleNewPeer, signal}: UsageExchangeOptions): UsageExchange {
 	const {clock, identity} = services;
 	const peers = createDomainPeers({
 		clock, identity, readRegistered: () => messages.readPeers().filter(({domain}) => domain === identity.domain),
@@ -115,17 +124,55 @@
 		return {own, usage: computeTotalUsage([own, ...peers.readReports().map(({report}) => report)]), members: [...peers.readMembers()]};
 	}
 
+	function isLeader(): boolean {
+		return peers.findLeader() === undefined && !isDiscovering();
+	}
+
+	/** Sends the report of this host at once, or the digest if it is the leader. */
 	function sendReport(): void {
+		if (isLeader()) {
+			messages.sendDigest(createOwnDigest, peers.readContacts());
+		} else {
+			sendOwnReport();
+		}
+	}
+
+	function createOwnDigest(): DomainDigest {
+		return createDigest(createReport());
+	}
+
+	function sendOwnReport(sendBy?: Deadline): void {
 		const report = createReport();
+		recordReported();
 		const leader = peers.findLeader();
-		if (!leader && !isDiscovering()) {
-			const digest = createDigest(report);
-			messages.sendDigest(digest, peers.readContacts());
-			messages.sendUsage({...report, ...digest.usage, isOfDomain: true}, remoteDomains.findReceivers(readRemoteHosts()));
+		messages.sendUsage(report, leader && readTrustedDigest() ? [leader] : peers.readContacts(), sendBy);
+	}
+
+	/** Reports with the next requests of this host, or with the next responses to those that send it requests if it is the leader. */
+	function sendPeriodicReport(): void {
+		const now = clock.readNow();
+		if (!isLeader()) {
+			sendOwnReport(now + GATHERING_MS);
 			return;
 		}
 
-		messages.sendUsage(report, leader && readTrustedDigest() ? [leader] : peers.readContacts());
+		const followers = new Set(peers.readReports().map(({report}) => report.host));
+		const contacts = peers.readContacts();
+		messages.sendDigest(createOwnDigest, contacts.filter(({host}) => followers.has(host)), now + RELAY_DELAY_MS);
+		messages.sendDigest(createOwnDigest, contacts.filter(({host}) => !followers.has(host)));
+	}
+
+	function sendReportsAtOnce(): void {
+		sendReport();
+		sendDomainReport();
+	}
+
+	function sendDomainReport(): void {
+		if (isLeader()) {
+			const report = createReport();
+			recordReported();
+			messages.sendUsage({...report, ...createDigest(report).usage, isOfDomain: true}, remoteDomains.findReceivers(readRemoteHosts()));
+		}
 	}
 
 	/** Reads the digest where it stands for the reports of the domain peers; in a small domain their own reports are more recent. */
@@ -166,8 +213,8 @@
 
 	/** Makes this host known to one that has just started: it needs the demand at the other hosts, and whom to follow. */
 	function notifyNewHost(newHost: HostContact): void {
-		if (!peers.findLeader() && !isDiscovering()) {
-			messages.sendDigest(createDigest(createReport()), [newHost]);
+		if (isLeader()) {
+			messages.sendDigest(createOwnDigest, [newHost]);
 		} else if (!readTrustedDigest()) {
 			messages.sendUsage(createReport(), [newHost]);
 		}
@@ -175,7 +222,7 @@
 
 	function applyDomainReport(report: UsageReport, isRelayed: boolean): void {
 		if (remoteDomains.applyReport(report) && !isRelayed) {
-			messages.sendRelayed(report, peers.readContacts());
+			messages.sendRelayed(report, peers.readContacts(), clock.readNow() + RELAY_DELAY_MS);
 		}
 	}
 
@@ -193,10 +240,10 @@
 				// The leader knows this host from the store only, and registers it once it has a report.
 				messages.sendUsage(createReport(), [digest.own]);
 			}
-		} else if (!peers.findLeader() && !isDiscovering() && (isNew || clock.readNow() >= lastDigestReplyAt + MIN_DIGEST_REPLY_INTERVAL_MS)) {
+		} else if (isLeader() && (isNew || clock.readNow() >= lastDigestReplyAt + MIN_DIGEST_REPLY_INTERVAL_MS)) {
 			// Two hosts consider themselves the leader; the other one learns from the digest that it is not.
 			lastDigestReplyAt = clock.readNow();
-			messages.sendDigest(createDigest(createReport()), [digest.own]);
+			messages.sendDigest(createOwnDigest, [digest.own]);
 		}
 	}
 
@@ -231,14 +278,19 @@
 		};
 	}
 
-	void runPeriodically(clock, REPORT_INTERVAL_MS, async () => {
-		sendReport();
+	startLoop(clock, async () => {
+		const now = clock.readNow();
+		sendPeriodicReport();
 		peers.removeExpired();
 		remoteDomains.removeExpired();
+		return findNextPoll(now, PEER_POLL_INTERVAL_MS, pollPhase);
+	}, signal);
+	void runPeriodically(clock, DOMAIN_REPORT_INTERVAL_MS, async () => {
+		sendDomainReport();
 	}, signal);
 	// A host learns its peers when it is registered, and then reports at once so that they know its new incarnation.
-	const stopListening = services.blackboard.registerListener(({registeredAt}) => registeredAt, sendReport);
-	const stopListeningToPeers = services.blackboard.registerListener(({arePeersKnown}) => arePeersKnown, sendReport);
+	const stopListening = services.blackboard.registerListener(({registeredAt}) => registeredAt, sendReportsAtOnce);
+	const stopListeningToPeers = services.blackboard.registerListener(({arePeersKnown}) => arePeersKnown, sendReportsAtOnce);
 	const stopListeningToSuspensions = registerClockListener(services.blackboard, () => {
 		sentAt.clear();
 	});
--- a/packages/heatherpond-fleet/src/usage-report.ts
+++ b/packages/heatherpond-fleet/src/usage-report.ts
@@ -1,6 +1,18 @@
 /** Schema of the usage reports that hosts send to each other in datagrams, about once a second. */
 import * as z from 'zod/mini';
 
+// The schema library checks each entry of a record on its own, which takes most of the time in which a host handles a report.
+const teamDemandsSchema = z.custom<Record<string, number>>(value => isRecord(value) && Object.values(value).every(Number.isFinite));
+const databaseUsagesSchema = z.custom<Record<string, [number, number]>>(value => isRecord(value) && Object.values(value).every(isPair));
+
+function isRecord(value: unknown): value is Readonly<Record<string, unknown>> {
+	return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+function isPair(value: unknown): boolean {
+	return Array.isArray(value) && value.length === 2 && value.every(Number.isFinite);
+}
+
 /** Usage of one host, or the sum over all hosts of a failure domain. */
 export const usageReportSchema = z.object({
 	host: z.string(),
@@ -20,9 +32,9 @@
 	/** Whether the host has verified the contracts recently and is registered. */
 	isVerified: z.boolean(),
 	/** Requested operations per second, by team. */
-	teams: z.record(z.string(), z.number()),
+	teams: teamDemandsSchema,
 	/** Statements in flight and open connections, by database. */
-	databases: z.record(z.string(), z.tuple([z.number(), z.number()])),
+	databases: databaseUsagesSchema,
 });
 
 /** A live host of a failure domain, as its leader knows it. */
