--- a/packages/heatherpond-fleet/src/relay-messages.ts
+++ b/packages/heatherpond-fleet/src/relay-messages.ts
@@ -77,8 +77,18 @@
 /** A step in the form that is sent to a relay. */
 export type EncodedStep = z.infer<typeof stepSchema>;
 
+/** Formats a message. The codecs of the schema only decode: what this process has built needs no check, and every statement passes here. */
 export function formatRelayMessage(message: RelayMessage): string {
-	return JSON.stringify(z.encode(messageSchema, message));
+	return JSON.stringify(message, formatJsonValue);
+}
+
+/** Encodes the values that JSON lacks, as the codecs of the schema expect them. */
+function formatJsonValue(_key: string, value: unknown): unknown {
+	if (typeof value === 'bigint') {
+		return String(value);
+	}
+
+	return value instanceof Map ? [...value as Map<string, unknown>] : value;
 }
 
 /** Parses a message; returns nothing when the text is malformed. */
