Evacuate failure domains, and keep statements in the home regions of their route and team

Cause: nothing read the operator's rows on evacuations or the regions that routes and teams are bound to. Change: every host follows the rows with the contracts; databases of an evacuated domain get no new work at once, their primaries are moved by a planned switchover, and they are closed when the time that the operator allows is used up. Homes bind databases and relays; the primary of a group moves into the homes that its routes share.

--- a/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
+++ b/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
@@ -70,6 +70,7 @@
 /** Duration of a late promotion in milliseconds; longer than the timeout of a promotion request. */
 const LATE_PROMOTE_MS = 1300;
 const REVOCATION_MS = 5000;
+export const EVACUATION_MS = 5000;
 
 /** Options of the fleet. */
 export type TestFleetOptions = {
@@ -77,13 +78,17 @@
 	readonly seeds?: readonly string[];
 	/** Rate limit of the team. */
 	readonly limit?: TeamLimit;
+	/** Failure domains of the three databases. */
+	readonly databaseDomains?: readonly string[];
+	/** Regions in which the primary of the group belongs. */
+	readonly homes?: ReadonlySet<string>;
 };
 
 /** Creates a fleet of hosts and a group of three databases, the first of which is primary. */
-export function createTestFleet(hostNames: readonly string[], {seeds = [], limit = TEAM_LIMIT}: TestFleetOptions = {}): TestFleet {
+export function createTestFleet(hostNames: readonly string[], {seeds = [], limit = TEAM_LIMIT, databaseDomains = ['domain-1', 'domain-1', 'domain-1'], homes}: TestFleetOptions = {}): TestFleet {
 	const clock = createFakeClock(1000);
 	const store = createMemoryStore({clock, latencyMs: STORE_LATENCY_MS});
-	const databases = new Map(['db-1', 'db-2', 'db-3'].map((id, index) => [id, createDatabase(id, index)] as const));
+	const databases = new Map(['db-1', 'db-2', 'db-3'].map((id, index) => [id, createDatabase(id, index, databaseDomains[index]!)] as const));
 	const listeners = new Map<string, (text: string) => void>();
 	const links = createMemoryLinks(clock);
 	const hosts: TestHost[] = [];
@@ -203,10 +208,11 @@
 			domains: [...new Set(hostNames.map(host => host.includes('/') ? host.split('/')[0]! : 'domain-1'))],
 			readRegion: domain => domain,
 			revocationMs: REVOCATION_MS,
+			evacuationMs: EVACUATION_MS,
 			minPromotionLeaseMs: 0,
 			contracts: {
-				table: CONTRACTS_TABLE, key: 'config', parse: text => ({
-					version: Number(text), routes: new Map(), groups: new Map(), teams: new Map([[TEAM, {team: TEAM, ...limit}]]), teamsByKey: new Map(), idleTransactionMs: 1000,
+				table: CONTRACTS_TABLE, key: 'config', parseEvacuatedDomain: key => key.startsWith('evacuate/') ? key.slice('evacuate/'.length) : undefined, parse: text => ({
+					version: Number(text), routes: new Map(), groups: new Map([[GROUP, {group: GROUP, maxConnections: 20, homes}]]), teams: new Map([[TEAM, {team: TEAM, ...limit}]]), teamsByKey: new Map(), idleTransactionMs: 1000,
 				}),
 			},
 			registrations: {table: REGISTRATIONS_TABLE, parse: ({value}) => value === undefined ? undefined : JSON.parse(value) as Upstream},
@@ -242,10 +248,10 @@
 	};
 }
 
-function createDatabase(id: string, index: number): TestDatabase {
+function createDatabase(id: string, index: number, domain: string): TestDatabase {
 	return {
 		upstream: {
-			id, group: GROUP, host: id, port: 1, domain: 'domain-1', capacity: 3, isLeaving: false, claimsPrimary: index === 0, isWarmingUp: false, startedAt: 0,
+			id, group: GROUP, host: id, port: 1, domain, capacity: 3, isLeaving: false, claimsPrimary: index === 0, isWarmingUp: false, startedAt: 0,
 		},
 		isPrimary: index === 0, term: 1, position: BigInt(100 - index), isUnresponsive: false, isFull: false,
 	};
--- a/packages/heatherpond-fleet/src/__tests__/unit/promotion.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/promotion.test.ts
@@ -27,7 +27,7 @@
 
 /** Reports a timed out statement on a database to a host, as its sessions would. */
 function recordFailure({host}: TestHost, database: string): void {
-	host.sessions.upstreams.findCandidates(GROUP, 'team', undefined);
+	host.sessions.upstreams.findCandidates(GROUP, {team: 'team'});
 	host.sessions.upstreams.recordFailure(database, 'silent', fleet.clock.readNow());
 }
 
--- a/packages/heatherpond-fleet/src/access-decision.ts
+++ b/packages/heatherpond-fleet/src/access-decision.ts
@@ -1,6 +1,6 @@
 /** Decides whether a client may use a route, according to the newest contracts that this host has read. */
 import type {Instant} from 'heatherpond-core';
-import type {SessionAccess} from 'heatherpond-session';
+import {findCommonHomes, type SessionAccess} from 'heatherpond-session';
 import type {FleetState} from './fleet-state.js';
 
 /** Milliseconds before the end of the revocation period at which keys are no longer accepted without a new verification. */
@@ -31,13 +31,20 @@
 	}
 
 	const team = contracts.teamsByKey.get(key);
+	const homes = findCommonHomes(route.homes, team === undefined ? undefined : contracts.teams.get(team)?.homes);
 	if (route.isOpen) {
-		return {kind: 'allow', route, team: team ?? OPEN_TEAM};
+		return {
+			kind: 'allow', route, team: team ?? OPEN_TEAM, homes,
+		};
 	}
 
 	if (!isVerified) {
 		return {kind: 'refuse', reason: 'unverified'};
 	}
 
-	return team === undefined ? {kind: 'refuse', reason: 'unknown_key'} : {kind: 'allow', route, team};
+	return team === undefined
+		? {kind: 'refuse', reason: 'unknown_key'}
+		: {
+			kind: 'allow', route, team, homes,
+		};
 }
--- a/packages/heatherpond-fleet/src/contracts.ts
+++ b/packages/heatherpond-fleet/src/contracts.ts
@@ -1,5 +1,5 @@
 /** The contracts in force, in the form that hosts use. */
-import type {SessionRoute} from 'heatherpond-session';
+import {findCommonHomes, type Homes, type SessionRoute} from 'heatherpond-session';
 
 /** Rate limit of a team. */
 export type TeamContract = {
@@ -8,6 +8,8 @@
 	readonly ratePerSecond: number;
 	/** Operations that may arrive at once in excess of the rate. */
 	readonly burst: number;
+	/** Regions in which the team's statements may be run; absent when every region is permitted. */
+	readonly homes?: Homes;
 };
 
 /** Limits of a group of databases. */
@@ -15,6 +17,8 @@
 	readonly group: string;
 	/** Maximum number of connections to each database of the group, over all hosts together. */
 	readonly maxConnections: number;
+	/** Regions that are homes of every route of the group that has homes, and in which its primary therefore belongs. */
+	readonly homes?: Homes;
 };
 
 /** All contracts of one configuration version. */
@@ -29,3 +33,10 @@
 	/** Milliseconds for which an open transaction may wait for the next statement of its client. */
 	readonly idleTransactionMs: number;
 };
+
+/** Finds the regions that all routes of a group with homes share; nothing when no route has homes. */
+export function findGroupHomes(group: string, routes: readonly SessionRoute[]): Homes | undefined {
+	return routes
+		.filter(route => route.group === group)
+		.reduce<Homes | undefined>((homes, route) => findCommonHomes(homes, route.homes), undefined);
+}
--- a/packages/heatherpond-fleet/src/fleet-followers.ts
+++ b/packages/heatherpond-fleet/src/fleet-followers.ts
@@ -2,6 +2,7 @@
 import type {Instant} from 'heatherpond-core';
 import {applyFleetUpdate} from './apply-fleet-update.js';
 import {applyUpstreamUpdate, EMPTY_UPSTREAM_VIEW, removeExpiredUpstreams} from './apply-upstream-update.js';
+import {applyEvacuations, applyEvacuationUpdate, isSameEvacuations} from './evacuations.js';
 import type {FindDomainLeader} from './domain-leader.js';
 import type {FleetHostOptions} from './fleet-host.js';
 import {FLEET_TABLE} from './fleet-records.js';
@@ -12,6 +13,7 @@
 import type {TableCache} from './table-cache.js';
 import {PEER_POLL_INTERVAL_MS} from './poll-schedule.js';
 import {startTableFollower, type TableFollower, type TableUpdate} from './table-follower.js';
+import type {Upstream} from './upstream.js';
 
 /** Options and shared state of a host whose tables are followed. */
 export type HostContext = FleetHostOptions & {
@@ -44,6 +46,7 @@
 	const {contracts, registrations} = host;
 	startFollower(host, {
 		table: contracts.table, readIntervalMs: () => host.blackboard.read().contracts ? readPollInterval(host) : STARTUP_POLL_INTERVAL_MS, applyUpdate(update) {
+			updateEvacuations(host, update);
 			applyContracts(host, update);
 		},
 	});
@@ -51,7 +54,7 @@
 	startFollower(host, {
 		table: registrations.table, readIntervalMs: () => host.blackboard.read().primacies.size > 0 ? readPollInterval(host) : STARTUP_POLL_INTERVAL_MS, applyUpdate(update) {
 			view = removeExpiredUpstreams(applyUpstreamUpdate(view, update, registrations.parse), update.receivedAt);
-			host.blackboard.update(state => ({...state, upstreams: view.upstreams, upstreamsVerifiedAt: update.requestedAt}));
+			host.blackboard.update(state => applyRegistrations(state, view.upstreams, update.requestedAt));
 		},
 	});
 	const fleet = startFollower(host, {
@@ -127,6 +130,25 @@
 	return follower;
 }
 
+function applyRegistrations(state: FleetState, registrations: ReadonlyMap<string, Upstream>, verifiedAt: Instant): FleetState {
+	return {
+		...state, registrations, upstreamsVerifiedAt: verifiedAt,
+		upstreams: registrations === state.registrations ? state.upstreams : applyEvacuations(registrations, state.evacuations),
+	};
+}
+
+function updateEvacuations({blackboard, contracts, writeEvent}: HostContext, update: TableUpdate): void {
+	const {evacuations: before, registrations, restoredAt} = blackboard.read();
+	const evacuations = applyEvacuationUpdate(before, update, contracts.parseEvacuatedDomain, restoredAt);
+	if (isSameEvacuations(before, evacuations)) {
+		blackboard.update(state => ({...state, evacuations}));
+		return;
+	}
+
+	writeEvent('evacuations_changed', {evacuated: [...evacuations.keys()].join(','), before: [...before.keys()].join(','), row_version: update.page.version});
+	blackboard.update(state => ({...state, evacuations, upstreams: applyEvacuations(registrations, evacuations)}));
+}
+
 function applyContracts({blackboard, contracts, writeEvent}: HostContext, {page, requestedAt}: TableUpdate): void {
 	const row = page.rows.findLast(({key, value}) => key === contracts.key && value !== undefined);
 	const parsed = row && contracts.parse(row.value!);
--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -23,6 +23,7 @@
 import type {HostContact} from './host-message.js';
 import {createHostMessages} from './host-messages.js';
 import {removeRegistration, startHostRegistration, type HostRegistration} from './host-registration.js';
+import {createPermittedPlaces} from './permitted-places.js';
 import {findPrimary, isProven, isReplaced} from './primacy.js';
 import {createPrimaryFailureDetector} from './primary-failure-detector.js';
 import {createPrimaryWork} from './primary-work.js';
@@ -65,8 +66,16 @@
 	readonly revocationMs: number;
 	/** Minimum duration of the promotion lease in milliseconds. */
 	readonly minPromotionLeaseMs: number;
-	/** Table and key of the contracts, and their parser. */
-	readonly contracts: {readonly table: string; readonly key: string; readonly parse: (text: string) => Contracts | undefined};
+	/** Table of the operator's rows, key of the contracts, and their parsers. */
+	readonly contracts: {
+		readonly table: string;
+		readonly key: string;
+		readonly parse: (text: string) => Contracts | undefined;
+		/** Returns the failure domain that a row with this key evacuates; nothing for other rows. */
+		readonly parseEvacuatedDomain: (key: string) => string | undefined;
+	};
+	/** Milliseconds within which nothing more must be sent to the databases of an evacuated failure domain. */
+	readonly evacuationMs: number;
 	/** Table of the registered databases, and the parser of its rows. */
 	readonly registrations: {readonly table: string; readonly parse: (row: RowChange) => Upstream | undefined};
 	readonly signal: AbortSignal;
@@ -92,6 +101,8 @@
 
 /** Milliseconds within which a connection to a database must be established. */
 const CONNECT_TIMEOUT_MS = 500;
+/** Milliseconds until a host learns of a change of the operator's rows: polls of up to three hosts in a row, and one lost request. */
+const MAX_LEARNING_MS = 3500;
 /** Milliseconds between maintenance runs: suspension check and refresh of the connection pools. */
 const MAINTENANCE_INTERVAL_MS = 1000;
 /** Milliseconds after the start of a host for which clients wait for its registration, which usually follows within a few round trips. */
@@ -155,8 +166,11 @@
 	});
 	const ownRecord: HostRecord = {...identity, refreshedAt: 0};
 	const relays = createRelayClient({clock, links: options.links, writeEvent});
+	const places = createPermittedPlaces({
+		clock, blackboard, domain: identity.domain, readRegion, evacuationGraceMs: Math.max(0, options.evacuationMs - MAX_LEARNING_MS),
+	});
 	const upstreams = createUpstreamDirectory({
-		clock, blackboard, positions, domain: identity.domain, random, readRegion,
+		clock, blackboard, positions, places, domain: identity.domain, random, readRegion,
 		open: async (upstream, team) => options.openConnection(upstream, team, clock.readNow() + CONNECT_TIMEOUT_MS),
 		handleFailure: suspicion.applyFailure,
 		relays,
--- a/packages/heatherpond-fleet/src/fleet-services.ts
+++ b/packages/heatherpond-fleet/src/fleet-services.ts
@@ -27,6 +27,8 @@
 	readonly promotionRequests: PromotionRequestPort;
 	readonly writeEvent: WriteEvent;
 	readonly random: () => number;
+	/** Returns the region of a failure domain. */
+	readonly readRegion: (domain: string) => string;
 	/** Sends a primacy record to the other hosts directly, because some of them may be unable to reach the store. */
 	readonly sendPrimacy: (primacy: Versioned<PrimacyRecord>) => void;
 	/** Notifies the domain leaders, which start promotions, that this host suspects a primary to have failed, or no longer does. */
--- a/packages/heatherpond-fleet/src/fleet-state.ts
+++ b/packages/heatherpond-fleet/src/fleet-state.ts
@@ -1,6 +1,7 @@
 /** The blackboard of a host: what it knows about the fleet, and when that was last verified. */
 import type {Blackboard, Instant, Teardown} from 'heatherpond-core';
 import type {Contracts} from './contracts.js';
+import type {Evacuations} from './evacuations.js';
 import type {
 	PromotionLeaseRecord, HostRecord, PrimacyRecord, SuspicionRecord,
 } from './fleet-records.js';
@@ -17,7 +18,11 @@
 	readonly contracts?: Contracts;
 	/** The contracts were complete at this instant. */
 	readonly contractsVerifiedAt: Instant;
-	/** Registered databases by id. */
+	/** The failure domains that the operator evacuates. */
+	readonly evacuations: Evacuations;
+	/** Databases by id, as registered. */
+	readonly registrations: ReadonlyMap<string, Upstream>;
+	/** The registered databases, with the evacuations of their failure domains. */
 	readonly upstreams: ReadonlyMap<string, Upstream>;
 	/** The registrations were complete at this instant. */
 	readonly upstreamsVerifiedAt: Instant;
@@ -67,6 +72,8 @@
 /** Initial state of a host, before anything has been read. */
 export const EMPTY_FLEET_STATE: FleetState = {
 	contractsVerifiedAt: Number.NEGATIVE_INFINITY,
+	evacuations: new Map(),
+	registrations: new Map(),
 	upstreams: new Map(),
 	upstreamsVerifiedAt: Number.NEGATIVE_INFINITY,
 	primacies: new Map(),
--- a/packages/heatherpond-fleet/src/promotion-controller.ts
+++ b/packages/heatherpond-fleet/src/promotion-controller.ts
@@ -211,14 +211,14 @@
 async function startDuePromotion(controller: Controller, state: FleetState): Promise<void> {
 	const {services, runningGroups} = controller;
 	const {clock, blackboard} = services;
-	const due = findDuePromotions(state, clock.readNow()).filter(({primacy}) => !runningGroups.has(primacy.record.group));
+	const due = findDuePromotions(controller, state, clock.readNow()).filter(({primacy}) => !runningGroups.has(primacy.record.group));
 	if (due.length === 0) {
 		return;
 	}
 
 	await waitForJitter(controller);
 	const current = blackboard.read();
-	const first = findDuePromotions(current, clock.readNow()).find(({primacy}) => !runningGroups.has(primacy.record.group));
+	const first = findDuePromotions(controller, current, clock.readNow()).find(({primacy}) => !runningGroups.has(primacy.record.group));
 	if (first && isPromotionLeaseAvailable(current, services.identity, clock.readNow())) {
 		await startPromotion(controller, current, first);
 	}
@@ -241,10 +241,10 @@
 
 type DuePromotion = {readonly primacy: Versioned<PrimacyRecord>; readonly cause: PromotionCause};
 
-function findDuePromotions(state: FleetState, now: Instant): readonly DuePromotion[] {
+function findDuePromotions({services: {readRegion}}: Controller, state: FleetState, now: Instant): readonly DuePromotion[] {
 	const liveHosts = findLiveHosts(state.hosts, now + state.storeClockOffset).length;
 	return [...state.primacies.values()].filter(({record}) => isAffirmed(state, record)).flatMap(primacy => {
-		const cause = decidePromotionCause(state, primacy.record, liveHosts);
+		const cause = decidePromotionCause(state, primacy.record, {liveHosts, readRegion});
 		return cause ? [{primacy, cause}] : [];
 	});
 }
--- a/packages/heatherpond-fleet/src/promotion-decisions.ts
+++ b/packages/heatherpond-fleet/src/promotion-decisions.ts
@@ -1,10 +1,10 @@
 /** Decides when a promotion is due, which hosts must confirm it, and which database is promoted. */
 import type {Instant} from 'heatherpond-core';
-import {compareLogPositions} from 'heatherpond-session';
+import {compareLogPositions, isHome} from 'heatherpond-session';
 import type {DatabaseStatus} from './database-control-port.js';
 import type {HostRecord, PrimacyRecord} from './fleet-records.js';
 import type {FleetState} from './fleet-state.js';
-import type {Upstream} from './upstream.js';
+import {isAcceptingWork, type Upstream} from './upstream.js';
 
 /** Milliseconds of its own clock for which a host considers itself registered after a refresh. */
 export const REGISTRATION_MS = 7000;
@@ -15,8 +15,11 @@
 /** Number of hosts that must suspect a primary before it is replaced. */
 const MIN_SUSPECTING_HOSTS = 2;
 
-/** Reason for a promotion: the primary is draining, its registration is missing, or it does not respond. */
-export type PromotionCause = {readonly reason: 'leaving' | 'gone' | 'silent'; readonly isPlanned: boolean};
+/** Reason for a promotion: the primary is draining or its failure domain is evacuated, its registration is missing, it does not respond, or it is outside the home regions of its group. */
+export type PromotionCause = {readonly reason: 'leaving' | 'evacuated' | 'gone' | 'silent' | 'outside_homes'; readonly isPlanned: boolean};
+
+/** What the decision depends on besides the fleet state: the number of live hosts, and the regions of failure domains. */
+export type PromotionContext = {readonly liveHosts: number; readonly readRegion: (domain: string) => string};
 
 /** Finds the hosts that may still rely on a lease. */
 export function findLiveHosts(hosts: ReadonlyMap<string, HostRecord>, storeNow: Instant): readonly string[] {
@@ -25,11 +28,11 @@
 
 /** Finds the databases of a group that may replace its primary. */
 export function findSuccessors(state: FleetState, {group, primary}: PrimacyRecord): readonly Upstream[] {
-	return [...state.upstreams.values()].filter(upstream => upstream.group === group && upstream.id !== primary && !upstream.isLeaving);
+	return [...state.upstreams.values()].filter(upstream => upstream.group === group && upstream.id !== primary && isAcceptingWork(upstream));
 }
 
 /** Decides whether the primary of a group must be replaced, and why. */
-export function decidePromotionCause(state: FleetState, record: PrimacyRecord, liveHosts: number): PromotionCause | undefined {
+export function decidePromotionCause(state: FleetState, record: PrimacyRecord, {liveHosts, readRegion}: PromotionContext): PromotionCause | undefined {
 	if (record.promotion !== undefined || record.primary === undefined || findSuccessors(state, record).length === 0) {
 		return undefined;
 	}
@@ -43,8 +46,23 @@
 		return {reason: 'leaving', isPlanned: true};
 	}
 
+	if (upstream.evacuatedSince !== undefined) {
+		return {reason: 'evacuated', isPlanned: true};
+	}
+
 	const suspectingHosts = countSuspectingHosts(state, record);
-	return suspectingHosts >= Math.min(MIN_SUSPECTING_HOSTS, Math.max(1, liveHosts)) ? {reason: 'silent', isPlanned: false} : undefined;
+	if (suspectingHosts >= Math.min(MIN_SUSPECTING_HOSTS, Math.max(1, liveHosts))) {
+		return {reason: 'silent', isPlanned: false};
+	}
+
+	const isAtHome = createHomeCheck(state, record, readRegion);
+	return !isAtHome(upstream) && findSuccessors(state, record).some(isAtHome) ? {reason: 'outside_homes', isPlanned: true} : undefined;
+}
+
+/** Creates the check whether a database is in the home regions of its group; it always is when the group has none. */
+export function createHomeCheck({contracts}: FleetState, {group}: PrimacyRecord, readRegion: (domain: string) => string): (upstream: Upstream) => boolean {
+	const homes = contracts?.groups.get(group)?.homes;
+	return ({domain}) => isHome(homes, readRegion(domain));
 }
 
 /** Counts the hosts that suspect the primary; suspicions of earlier incarnations are ignored. */
@@ -70,10 +88,30 @@
 		.at(0);
 }
 
-/** Selects the database with the most advanced log; ties are broken by id. */
-export function findCandidate(polled: readonly PolledDatabase[], record: PrimacyRecord, excluded: ReadonlySet<string>): PolledDatabase | undefined {
+/** Restrictions and preferences for the selection of a candidate. */
+export type CandidateRules = {
+	/** Databases that are not running. */
+	readonly excluded: ReadonlySet<string>;
+	/** Whether a database is in the home regions of its group. */
+	readonly isAtHome: (upstream: Upstream) => boolean;
+};
+
+/**
+ * Selects the database with the most advanced log, and among equal ones one at home; in a planned promotion, in which the
+ * candidate catches up first, one at home comes before the others. Ties are broken by id.
+ */
+export function findCandidate(polled: readonly PolledDatabase[], record: PrimacyRecord, {excluded, isAtHome}: CandidateRules): PolledDatabase | undefined {
+	function compareHomes(left: PolledDatabase, right: PolledDatabase): number {
+		return Number(isAtHome(right.upstream)) - Number(isAtHome(left.upstream));
+	}
+
+	function compareLogs(left: PolledDatabase, right: PolledDatabase): number {
+		return compareLogPositions(right.status.point, left.status.point);
+	}
+
+	const [first, second] = record.promotion?.isPlanned ? [compareHomes, compareLogs] : [compareLogs, compareHomes];
 	return polled
-		.filter(({upstream}) => upstream.id !== record.primary && !upstream.isLeaving && !excluded.has(upstream.id))
-		.toSorted((left, right) => compareLogPositions(right.status.point, left.status.point) || (left.upstream.id < right.upstream.id ? -1 : 1))
+		.filter(({upstream}) => upstream.id !== record.primary && isAcceptingWork(upstream) && !excluded.has(upstream.id))
+		.toSorted((left, right) => first(left, right) || second(left, right) || (left.upstream.id < right.upstream.id ? -1 : 1))
 		.at(0);
 }
--- a/packages/heatherpond-fleet/src/promotion-run.ts
+++ b/packages/heatherpond-fleet/src/promotion-run.ts
@@ -14,7 +14,7 @@
 import {readHosts} from './host-list.js';
 import {LEASE_MARGIN_MS, LEASE_MS} from './primacy.js';
 import {
-	findCandidate, findPromotedDatabase, findLiveHosts, isConfirmed, type PolledDatabase,
+	createHomeCheck, findCandidate, findPromotedDatabase, findLiveHosts, isConfirmed, type PolledDatabase,
 } from './promotion-decisions.js';
 import type {Upstream} from './upstream.js';
 import {waitForState} from './wait-for-state.js';
@@ -54,6 +54,7 @@
 	const {record} = task.primacy;
 	await waitForConfirmations(services, task, signal);
 	const excluded = new Set<string>();
+	const isAtHome = createHomeCheck(services.blackboard.read(), record, services.readRegion);
 	let {primacy} = task;
 	while (!signal.aborted && clock.readNow() < task.readDeadline() - PROMOTION_REQUEST_MARGIN_MS) {
 		const polled = await requestGroupStatus(services, task);
@@ -62,7 +63,7 @@
 			return writeNewPrimary(services, primacy, promoted);
 		}
 
-		const candidate = findPersistedCandidate(services, primacy.record, excluded) ?? findCandidate(polled, record, excluded)?.upstream;
+		const candidate = findPersistedCandidate(services, primacy.record, excluded) ?? findCandidate(polled, record, {excluded, isAtHome})?.upstream;
 		if (!candidate) {
 			writeEvent('promotion_without_candidate', {group: record.group, surveyed: polled.length});
 			excluded.clear();
--- a/packages/heatherpond-fleet/src/upstream-directory.ts
+++ b/packages/heatherpond-fleet/src/upstream-directory.ts
@@ -1,20 +1,22 @@
 /** The databases that this host uses: their connection pools, load, latency and failures. */
 import type {Clock, Instant} from 'heatherpond-core';
 import {
-	createConnectionPool, createUpstreamError, type ConnectionPool, type ConnectionHandle, type ConnectionRequest, type PositionTracker, type UpstreamCandidate, type UpstreamConnection, type UpstreamsPort,
+	createConnectionPool, createUpstreamError, type ConnectionPool, type ConnectionHandle, type CandidateQuery, type ConnectionRequest, type Homes, type PositionTracker, type UpstreamCandidate, type UpstreamConnection, type UpstreamsPort,
 } from 'heatherpond-session';
 import type {HostRecord} from './fleet-records.js';
 import type {FleetBlackboard} from './fleet-state.js';
 import {selectRelays, isRelayRequired} from './relay-selection.js';
 import {createRelaySelectionCache} from './relay-selection-cache.js';
 import type {RelayClient} from './relay-client.js';
-import type {Upstream} from './upstream.js';
+import type {PermittedPlaces} from './permitted-places.js';
+import {isAcceptingWork, type Upstream} from './upstream.js';
 
 /** Dependencies of the directory. */
 export type UpstreamDirectoryOptions = {
 	readonly clock: Clock;
 	readonly blackboard: FleetBlackboard;
 	readonly positions: PositionTracker;
+	readonly places: PermittedPlaces;
 	/** Failure domain of this host. */
 	readonly domain: string;
 	readonly random: () => number;
@@ -75,7 +77,7 @@
 
 /** Creates an empty directory. */
 export function createUpstreamDirectory(options: UpstreamDirectoryOptions): UpstreamDirectory {
-	const {clock, blackboard, positions} = options;
+	const {clock, blackboard, positions, places} = options;
 	const entries = new Map<string, UpstreamEntry>();
 	const relays = createRelaySelectionCache();
 
@@ -90,7 +92,7 @@
 				clock,
 				open: async team => options.open(findUpstream(upstream.id) ?? upstream, team),
 				readMaxConnections: () => readConnectionLimit(upstream),
-				isDraining: () => findUpstream(upstream.id)?.isLeaving ?? true,
+				isDraining: () => !isUsable(findUpstream(upstream.id)),
 				random: options.random,
 			}),
 			inFlight: 0, avoidedUntil: 0, meanMs: 0, failures: 0,
@@ -99,6 +101,10 @@
 		return created;
 	}
 
+	function isUsable(upstream: Upstream | undefined): boolean {
+		return upstream !== undefined && isAcceptingWork(upstream);
+	}
+
 	function findUpstream(id: string): Upstream | undefined {
 		return blackboard.read().upstreams.get(id);
 	}
@@ -123,8 +129,8 @@
 	}
 
 	/** Finds the relay for a team; nothing when this host is the relay, the database has none, or all are backing off. */
-	function findRelay(upstream: Upstream, team: string): HostRecord | undefined {
-		const all = findDatabaseRelays(upstream);
+	function findRelay(upstream: Upstream, team: string, homes: Homes | undefined): HostRecord | undefined {
+		const all = findDatabaseRelays(upstream).filter(relay => places.isPermittedRelay(relay.domain, homes));
 		if (all.length === 0) {
 			return undefined;
 		}
@@ -172,7 +178,7 @@
 		return options.readRegion(upstream.domain) === options.readRegion(options.domain) ? REGION_ROUND_TRIP_MS : REMOTE_ROUND_TRIP_MS;
 	}
 
-	function createCandidate(upstream: Upstream, team: string, primary: string | undefined): UpstreamCandidate {
+	function createCandidate(upstream: Upstream, {team, primary, homes}: CandidateQuery): UpstreamCandidate {
 		const entry = findEntry(upstream);
 		return {
 			id: upstream.id,
@@ -180,7 +186,7 @@
 			capacity: upstream.capacity,
 			inFlight: entry.inFlight,
 			remoteInFlight: options.readRemoteUsage(upstream.id).statements,
-			hasIdleConnection: entry.pool.hasIdle(team) || findRelay(upstream, team) !== undefined,
+			hasIdleConnection: entry.pool.hasIdle(team) || findRelay(upstream, team, homes) !== undefined,
 			isAtConnectionLimit: entry.pool.isAtConnectionLimit(),
 			roundTripMs: readRoundTrip(upstream),
 			isSameDomain: upstream.domain === options.domain,
@@ -196,18 +202,27 @@
 			throw createUpstreamError('database is not registered', 'closed', false);
 		}
 
-		return findEntry(upstream).pool.acquire(request);
+		places.checkOpen(upstream);
+		return places.createGuardedHandle(await findEntry(upstream).pool.acquire(request));
 	}
 
 	return {
-		findCandidates(group, team, primary) {
+		findCandidates(group, query) {
 			return [...blackboard.read().upstreams.values()]
-				.filter(upstream => upstream.group === group && !upstream.isLeaving)
-				.map(upstream => createCandidate(upstream, team, primary));
+				.filter(upstream => upstream.group === group && places.isCandidate(upstream, query.homes))
+				.map(upstream => createCandidate(upstream, query));
+		},
+		isPermitted(database, homes) {
+			const upstream = findUpstream(database);
+			return upstream === undefined || places.isPermitted(upstream, homes);
+		},
+		hasPermitted(group, homes) {
+			const members = [...blackboard.read().upstreams.values()].filter(upstream => upstream.group === group);
+			return members.length === 0 || members.some(upstream => places.isPermitted(upstream, homes));
 		},
 		async acquire(database, request) {
 			const upstream = findUpstream(database);
-			const relay = upstream && findRelay(upstream, request.team);
+			const relay = upstream && findRelay(upstream, request.team, request.homes);
 			return relay ? options.relays.createHandle(relay, database, request) : acquireOwn(database, request);
 		},
 		acquireOwn,
@@ -227,7 +242,7 @@
 		},
 		recordFailure(database, reason, at) {
 			const entry = entries.get(database);
-			if (!entry || reason === 'too_many' || reason === 'relay') {
+			if (!entry || reason === 'too_many' || reason === 'relay' || reason === 'evacuated') {
 				return;
 			}
 
--- a/packages/heatherpond-session/src/__tests__/support/test-services.ts
+++ b/packages/heatherpond-session/src/__tests__/support/test-services.ts
@@ -173,7 +173,9 @@
 				},
 			},
 			upstreams: {
-				findCandidates: (_group, team, primary) => DATABASES.map(id => ({
+				isPermitted: () => true,
+				hasPermitted: () => true,
+				findCandidates: (_group, {team, primary}) => DATABASES.map(id => ({
 					id, isPrimary: id === primary, capacity: 3, inFlight: 0, remoteInFlight: 0, hasIdleConnection: pools.get(id)!.hasIdle(team), isAtConnectionLimit: false,
 					roundTripMs: 1, isSameDomain: true, isWarmingUp: false, lastPoint: positions.findDatabasePosition(id), backoffUntil: (failedAt.get(id) ?? -1000) + 300,
 				})),
--- a/packages/heatherpond-session/src/client-session.ts
+++ b/packages/heatherpond-session/src/client-session.ts
@@ -170,6 +170,7 @@
 		arguments: data?.arguments,
 		route: access.route,
 		team: access.team,
+		homes: access.homes,
 		arrivedAt,
 		deadline: arrivedAt + access.route.timeoutMs,
 		failed: new Set(),
--- a/packages/heatherpond-session/src/connection-handle.ts
+++ b/packages/heatherpond-session/src/connection-handle.ts
@@ -4,6 +4,7 @@
  */
 import type {Deadline, LogPosition} from 'heatherpond-core';
 import type {RequiredConnectionState} from './connection-setup.js';
+import type {Homes} from './homes.js';
 import type {Primary} from './session-services.js';
 import type {UpstreamResponse, UpstreamCommand} from './upstream-connection.js';
 
@@ -57,6 +58,8 @@
 	readonly team: string;
 	/** Priority class; 0 is the most urgent. */
 	readonly priority: number;
+	/** Regions in which the statements may be run. */
+	readonly homes?: Homes;
 	/** Session variables; an idle connection that already has them is preferred. */
 	readonly variables: ReadonlyMap<string, string>;
 	readonly deadline: Deadline;
--- a/packages/heatherpond-session/src/index.ts
+++ b/packages/heatherpond-session/src/index.ts
@@ -3,6 +3,7 @@
 export * from './connection-pool.js';
 export * from './connection-setup.js';
 export type * from './connection-handle.js';
+export * from './homes.js';
 export * from './log-order.js';
 export * from './pooled-handle.js';
 export * from './position-tracker.js';
--- a/packages/heatherpond-session/src/route.ts
+++ b/packages/heatherpond-session/src/route.ts
@@ -1,4 +1,5 @@
 /** The settings of a route, taken from its contract, that sessions use. */
+import type {Homes} from './homes.js';
 
 /** Consistency guarantee of the reads on a route. */
 export type Consistency
@@ -22,6 +23,8 @@
 	readonly targetLatencyMs: number;
 	/** Priority class; 0 is the most urgent. */
 	readonly priority: number;
+	/** Regions in which the statements of the route may be run; absent when every region is permitted. */
+	readonly homes?: Homes;
 	/** Whether clients may connect without an API key. */
 	readonly isOpen: boolean;
 };
--- a/packages/heatherpond-session/src/running-statement.ts
+++ b/packages/heatherpond-session/src/running-statement.ts
@@ -1,6 +1,7 @@
 /** Execution state of one statement across its attempts. */
 import type {Deadline, Instant, LogPosition} from 'heatherpond-core';
 import {formatUpstreamName, type PreparedStatement} from './connection-setup.js';
+import type {Homes} from './homes.js';
 import type {SessionRoute} from './route.js';
 import type {Statement, StatementAccess} from './statement.js';
 import type {UpstreamCommand} from './upstream-connection.js';
@@ -14,6 +15,8 @@
 	readonly arguments?: string;
 	readonly route: SessionRoute;
 	readonly team: string;
+	/** Regions in which the statement may be run. */
+	readonly homes?: Homes;
 	readonly arrivedAt: Instant;
 	readonly deadline: Deadline;
 	/** Databases on which an attempt was rejected or failed. */
--- a/packages/heatherpond-session/src/session-error.ts
+++ b/packages/heatherpond-session/src/session-error.ts
@@ -22,6 +22,8 @@
 		| 'wrong_database'
 	/** The response could not be parsed. */
 		| 'unreadable'
+	/** The failure domain of the database is evacuated, so nothing is sent to it any more. */
+		| 'evacuated'
 	/** The host that relays the connection cannot be reached; the database itself may be healthy. */
 		| 'relay';
 
--- a/packages/heatherpond-session/src/session-services.ts
+++ b/packages/heatherpond-session/src/session-services.ts
@@ -3,6 +3,7 @@
 	Clock, Deadline, Instant, LogPosition,
 } from 'heatherpond-core';
 import type {ConnectionHandle, ConnectionRequest} from './connection-handle.js';
+import type {Homes} from './homes.js';
 import type {PositionTracker} from './position-tracker.js';
 import type {SessionRoute} from './route.js';
 import type {UpstreamCandidate} from './upstream-selection.js';
@@ -12,7 +13,7 @@
 
 /** Whether a client may use a route; with `unverified_here`, other hosts can verify the contracts although this one cannot. */
 export type SessionAccess
-	= | {readonly kind: 'allow'; readonly route: SessionRoute; readonly team: string}
+	= | {readonly kind: 'allow'; readonly route: SessionRoute; readonly team: string; readonly homes?: Homes}
 		| {readonly kind: 'refuse'; readonly reason: 'unknown_database' | 'unknown_key' | 'unverified' | 'unverified_here'};
 
 /** Authorizes clients by the newest contracts. */
@@ -37,10 +38,17 @@
 	readonly registerWork: (primary: Primary) => () => void;
 };
 
+/** Who looks for a database: the team, the primary of the group as this host knows it, and where statements may be run. */
+export type CandidateQuery = {readonly team: string; readonly primary?: string; readonly homes?: Homes};
+
 /** Lists the databases and provides connections to them. */
 export type UpstreamsPort = {
 	/** Finds the databases of a group that accept new statements. */
-	readonly findCandidates: (group: string, team: string, primary: string | undefined) => readonly UpstreamCandidate[];
+	readonly findCandidates: (group: string, query: CandidateQuery) => readonly UpstreamCandidate[];
+	/** Whether statements with these homes may be sent to a database now: it is in one of them, and its failure domain is not closed. */
+	readonly isPermitted: (database: string, homes: Homes | undefined) => boolean;
+	/** Whether any database of the group is in one of the homes and accepts work. */
+	readonly hasPermitted: (group: string, homes: Homes | undefined) => boolean;
 	/**
 	 * Acquires a connection to a database.
 	 *
--- a/packages/heatherpond-session/src/statement-attempts.ts
+++ b/packages/heatherpond-session/src/statement-attempts.ts
@@ -190,6 +190,7 @@
 		return await services.upstreams.acquire(database, {
 			team: running.team,
 			priority: running.route.priority,
+			homes: running.homes,
 			deadline: running.deadline,
 			signal,
 			variables: state.variables,
--- a/packages/heatherpond-session/src/statement-target.ts
+++ b/packages/heatherpond-session/src/statement-target.ts
@@ -30,6 +30,8 @@
 const PRIMARY_WAIT_FRACTION = 0.25;
 /** Retry-after hint, in milliseconds, when the group has no confirmed primary. */
 const NO_PRIMARY_RETRY_AFTER_MS = 300;
+/** Retry-after hint, in milliseconds, when no permitted database may run the statement, which a planned switchover may change. */
+const NO_PLACE_RETRY_AFTER_MS = 1000;
 
 /**
  * Waits for a database that can run the statement.
@@ -45,6 +47,7 @@
 			return target;
 		}
 
+		checkPlaces(services, query);
 		if (signal.aborted || services.clock.readNow() >= waitDeadline) {
 			throw createRefusedError(createRefusal('busy', running.lastFailureReason || 'the group has no proven primary', NO_PRIMARY_RETRY_AFTER_MS));
 		}
@@ -53,10 +56,26 @@
 	}
 }
 
+/**
+ * Checks whether waiting can help.
+ *
+ * @throws RefusedError when every database that could run the statement is outside its home regions or evacuated
+ */
+function checkPlaces({upstreams, primacy}: SessionServices, {running: {route, homes}, needsPrimary}: TargetQuery): void {
+	if (!upstreams.hasPermitted(route.group, homes)) {
+		throw createRefusedError(createRefusal('busy', 'every database of the group is outside the home regions or evacuated', NO_PLACE_RETRY_AFTER_MS));
+	}
+
+	const primary = needsPrimary ? primacy.findPrimary(route.group) : undefined;
+	if (primary && !upstreams.isPermitted(primary.database, homes)) {
+		throw createRefusedError(createRefusal('busy', 'the primary of the group is outside the home regions or evacuated', NO_PLACE_RETRY_AFTER_MS));
+	}
+}
+
 /** Finds a database that can run the statement now. */
 export function findTarget(services: SessionServices, {running, needsPrimary, lastCommitPosition}: TargetQuery): StatementTarget | undefined {
-	const {route, team, arrivedAt, failed} = running;
-	const primary = services.primacy.findPrimary(route.group);
+	const {route, team, homes, arrivedAt, failed} = running;
+	const primary = findPermittedPrimary(services, running);
 	const requirement = needsPrimary
 		? {kind: 'unknown'} as const
 		: decideReadRequirement({
@@ -67,7 +86,7 @@
 	}
 
 	const candidates = services.upstreams
-		.findCandidates(route.group, team, primary?.database)
+		.findCandidates(route.group, {team, primary: primary?.database, homes})
 		.filter(candidate => isEligibleCandidate(candidate, primary));
 	const chosen = selectUpstream(candidates, {required: requirement.point, failed, now: services.clock.readNow()});
 	if (!chosen) {
@@ -79,6 +98,11 @@
 		: {database: chosen.id, after: requirement.point};
 }
 
+function findPermittedPrimary({primacy, upstreams}: SessionServices, {route, homes}: RunningStatement): Primary | undefined {
+	const primary = primacy.findPrimary(route.group);
+	return primary && upstreams.isPermitted(primary.database, homes) ? primary : undefined;
+}
+
 /** Excludes a database that reports itself as primary without being the confirmed one. */
 function isEligibleCandidate(candidate: UpstreamCandidate, primary: Primary | undefined): boolean {
 	return !candidate.isPrimary || candidate.id === primary?.database;
