Limit what cold databases get over all hosts, and test places and budgets in sessions

Cause: the operator's limit for cold databases was not read; a host with an empty queue for such a database sent it everything. The first second after a database has become cold, before hosts have read so, is not covered.

--- a/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
+++ b/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
@@ -66,6 +66,8 @@
 /** Round trip time of the store in milliseconds. */
 export const STORE_LATENCY_MS = 10;
 const STATUS_LATENCY_MS = 10;
+/** Milliseconds for which a database is cold after the evacuation of its failure domain. */
+export const WARM_UP_MS = 4000;
 const PROMOTE_MS = 300;
 /** Duration of a late promotion in milliseconds; longer than the timeout of a promotion request. */
 const LATE_PROMOTE_MS = 1300;
@@ -80,12 +82,14 @@
 	readonly limit?: TeamLimit;
 	/** Failure domains of the three databases. */
 	readonly databaseDomains?: readonly string[];
+	/** Statements a second that a cold database may get. */
+	readonly coldPerSecond?: number;
 	/** Regions in which the primary of the group belongs. */
 	readonly homes?: ReadonlySet<string>;
 };
 
 /** Creates a fleet of hosts and a group of three databases, the first of which is primary. */
-export function createTestFleet(hostNames: readonly string[], {seeds = [], limit = TEAM_LIMIT, databaseDomains = ['domain-1', 'domain-1', 'domain-1'], homes}: TestFleetOptions = {}): TestFleet {
+export function createTestFleet(hostNames: readonly string[], {seeds = [], limit = TEAM_LIMIT, databaseDomains = ['domain-1', 'domain-1', 'domain-1'], homes, coldPerSecond}: TestFleetOptions = {}): TestFleet {
 	const clock = createFakeClock(1000);
 	const store = createMemoryStore({clock, latencyMs: STORE_LATENCY_MS});
 	const databases = new Map(['db-1', 'db-2', 'db-3'].map((id, index) => [id, createDatabase(id, index, databaseDomains[index]!)] as const));
@@ -212,7 +216,9 @@
 			minPromotionLeaseMs: 0,
 			contracts: {
 				table: CONTRACTS_TABLE, key: 'config', parseEvacuatedDomain: key => key.startsWith('evacuate/') ? key.slice('evacuate/'.length) : undefined, parse: text => ({
-					version: Number(text), routes: new Map(), groups: new Map([[GROUP, {group: GROUP, maxConnections: 20, homes}]]), teams: new Map([[TEAM, {team: TEAM, ...limit}]]), teamsByKey: new Map(), idleTransactionMs: 1000,
+					version: Number(text), routes: new Map(), groups: new Map([[GROUP, {
+						group: GROUP, maxConnections: 20, homes, coldPerSecond, warmUpMs: WARM_UP_MS,
+					}]]), teams: new Map([[TEAM, {team: TEAM, ...limit}]]), teamsByKey: new Map(), idleTransactionMs: 1000,
 				}),
 			},
 			registrations: {table: REGISTRATIONS_TABLE, parse: ({value}) => value === undefined ? undefined : JSON.parse(value) as Upstream},
--- a/packages/heatherpond-fleet/src/__tests__/unit/team-limits.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/team-limits.test.ts
@@ -25,6 +25,7 @@
 	const fixture: Fixture = {
 		clock, usage: SINGLE_HOST, leader: undefined, grant: undefined, asked: 0,
 		limits: createTeamLimits({
+			findOtherLimit: () => undefined,
 			clock, signal: new AbortController().signal, blackboard: createBlackboard<FleetState>({...EMPTY_FLEET_STATE, arePeersKnown: true, contracts}), readUsage: () => fixture.usage, findDomainLeader: () => fixture.leader,
 			async requestGrant() {
 				fixture.asked++;
--- a/packages/heatherpond-fleet/src/contracts.ts
+++ b/packages/heatherpond-fleet/src/contracts.ts
@@ -17,6 +17,10 @@
 	readonly group: string;
 	/** Maximum number of connections to each database of the group, over all hosts together. */
 	readonly maxConnections: number;
+	/** Statements a second that a cold database of the group may get, over all hosts together; absent or 0 without a limit. */
+	readonly coldPerSecond?: number;
+	/** Milliseconds for which a database is cold after its failure domain is in use again. */
+	readonly warmUpMs?: number;
 	/** Regions that are homes of every route of the group that has homes, and in which its primary therefore belongs. */
 	readonly homes?: Homes;
 };
--- a/packages/heatherpond-fleet/src/fleet-followers.ts
+++ b/packages/heatherpond-fleet/src/fleet-followers.ts
@@ -146,7 +146,10 @@
 	}
 
 	writeEvent('evacuations_changed', {evacuated: [...evacuations.keys()].join(','), before: [...before.keys()].join(','), row_version: update.page.version});
-	blackboard.update(state => ({...state, evacuations, upstreams: applyEvacuations(registrations, evacuations)}));
+	const ended = [...before.keys()].filter(domain => !evacuations.has(domain)).map(domain => [domain, update.receivedAt] as const);
+	blackboard.update(state => ({
+		...state, evacuations, evacuationEnds: new Map([...state.evacuationEnds, ...ended]), upstreams: applyEvacuations(registrations, evacuations),
+	}));
 }
 
 function applyContracts({blackboard, contracts, writeEvent}: HostContext, {page, requestedAt}: TableUpdate): void {
--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -1,9 +1,10 @@
 /** Assembles the components of a host on top of its ports, and controls when it accepts clients and how it shuts down. */
 import {createBlackboard, type Clock, type Deadline} from 'heatherpond-core';
 import {
-	createPositionTracker, type SessionServices, type UpstreamConnection, type WriteEvent,
+	createPositionTracker, type RequestBudget, type SessionServices, type UpstreamConnection, type WriteEvent,
 } from 'heatherpond-session';
 import {decideAccess} from './access-decision.js';
+import {findColdLimit, formatColdSubject, isCold} from './cold-databases.js';
 import {createDomainStore} from './domain-leader.js';
 import {startPromotionConfirmations} from './confirm-promotions.js';
 import type {Contracts} from './contracts.js';
@@ -160,6 +161,7 @@
 	const positions = createPositionTracker();
 	const suspicion = createPrimaryFailureDetector(services, signal);
 	const limits = createTeamLimits({
+		findOtherLimit: subject => findColdLimit(blackboard.read(), subject),
 		clock, blackboard, writeEvent, signal, requestGrant: messages.requestGrant, requestTransfer: messages.requestTransfer, findDomainLeader,
 		readOtherLeaders: team => usage.exchange!.readOtherLeaders(team),
 		readUsage: team => usage.exchange!.readTeam(team),
@@ -210,6 +212,12 @@
 		return blackboard.read();
 	}
 
+	function findBudget(database: string): RequestBudget | undefined {
+		const state = blackboard.read();
+		const upstream = state.upstreams.get(database);
+		return upstream && isCold(state, upstream, clock.readNow()) ? async () => limits.admit(formatColdSubject(database)) : undefined;
+	}
+
 	function isHostReady(): boolean {
 		const state = readState();
 		const now = clock.readNow();
@@ -219,7 +227,7 @@
 	return {
 		blackboard,
 		sessions: {
-			clock, positions, upstreams, writeEvent, random, recordStatement: options.recordStatement,
+			clock, positions, writeEvent, upstreams: {...upstreams, findBudget}, random, recordStatement: options.recordStatement,
 			access: {
 				decideAccess(database, key) {
 					const state = readState();
--- a/packages/heatherpond-fleet/src/fleet-state.ts
+++ b/packages/heatherpond-fleet/src/fleet-state.ts
@@ -20,6 +20,8 @@
 	readonly contractsVerifiedAt: Instant;
 	/** The failure domains that the operator evacuates. */
 	readonly evacuations: Evacuations;
+	/** When this host learned that the evacuation of a failure domain had ended. */
+	readonly evacuationEnds: ReadonlyMap<string, Instant>;
 	/** Databases by id, as registered. */
 	readonly registrations: ReadonlyMap<string, Upstream>;
 	/** The registered databases, with the evacuations of their failure domains. */
@@ -73,6 +75,7 @@
 export const EMPTY_FLEET_STATE: FleetState = {
 	contractsVerifiedAt: Number.NEGATIVE_INFINITY,
 	evacuations: new Map(),
+	evacuationEnds: new Map(),
 	registrations: new Map(),
 	upstreams: new Map(),
 	upstreamsVerifiedAt: Number.NEGATIVE_INFINITY,
--- a/packages/heatherpond-fleet/src/index.ts
+++ b/packages/heatherpond-fleet/src/index.ts
@@ -2,6 +2,7 @@
 export * from './access-decision.js';
 export * from './apply-fleet-update.js';
 export * from './apply-upstream-update.js';
+export * from './cold-databases.js';
 export * from './confirm-promotions.js';
 export * from './contracts.js';
 export type * from './database-control-port.js';
--- a/packages/heatherpond-fleet/src/team-limits.ts
+++ b/packages/heatherpond-fleet/src/team-limits.ts
@@ -54,6 +54,8 @@
 	/** Finds the domain leader; nothing when this host is the leader. */
 	readonly findDomainLeader: () => HostContact | undefined;
 	readonly requestGrant: RequestGrant;
+	/** Finds the limit of a subject that is not a team. */
+	readonly findOtherLimit: (subject: string) => TeamLimit | undefined;
 	readonly writeEvent: WriteEvent;
 	readonly signal: AbortSignal;
 };
@@ -73,6 +75,8 @@
 /** Time for which granted operations stay usable, in milliseconds. */
 const GRANT_LIFETIME_MS = 600;
 
+const NO_GRANT: Grant = {granted: 0, retryAfterMs: START_RETRY_AFTER_MS};
+
 /** Granted operations that have not been used yet. */
 type UnusedGrant = {readonly left: number; readonly until: Instant};
 
@@ -87,8 +91,9 @@
 	const transfers = createTokenTransfers(options);
 	let leaderBackoffUntil: Instant = Number.NEGATIVE_INFINITY;
 
+	/** Finds the limit of a team, or of what else is limited over all hosts. */
 	function findLimit(team: string): TeamLimit | undefined {
-		return blackboard.read().contracts?.teams.get(team);
+		return blackboard.read().contracts?.teams.get(team) ?? options.findOtherLimit(team);
 	}
 
 	/** Whether this host may create tokens: before it knows the other hosts, their parts of the limit could be counted twice. */
@@ -181,7 +186,7 @@
 
 	async function requestFromLeader(leader: HostContact, team: string, limit: TeamLimit): Promise<number> {
 		const rate = readDemand(demands.get(team), limit, clock.readNow());
-		const wanted = Math.min(MAX_REQUESTED, Math.max(1, Math.ceil(rate * REQUESTED_DEMAND_S)));
+		const wanted = limit.isStrict ? 1 : Math.min(MAX_REQUESTED, Math.max(1, Math.ceil(rate * REQUESTED_DEMAND_S)));
 		const response = clock.readNow() < leaderBackoffUntil ? undefined : await options.requestGrant(leader, {team, wanted}, clock.readNow() + GRANT_TIMEOUT_MS);
 		if (!response && clock.readNow() >= leaderBackoffUntil) {
 			leaderBackoffUntil = clock.readNow() + LEADER_BACKOFF_MS;
@@ -192,7 +197,7 @@
 			ownBuckets.delete(team);
 		}
 
-		const grant = response ?? await takeFromOwnBucket(team);
+		const grant = response ?? (limit.isStrict ? NO_GRANT : await takeFromOwnBucket(team));
 		if (grant.granted === 0) {
 			return grant.retryAfterMs;
 		}
--- a/packages/heatherpond-fleet/src/token-bucket.ts
+++ b/packages/heatherpond-fleet/src/token-bucket.ts
@@ -6,8 +6,13 @@
  */
 import type {Instant} from 'heatherpond-core';
 
-/** Rate limit of one team, which applies to all hosts together. */
-export type TeamLimit = {readonly ratePerSecond: number; readonly burst: number};
+/** Rate limit of one team, or of one cold database, which applies to all hosts together. */
+export type TeamLimit = {
+	readonly ratePerSecond: number;
+	readonly burst: number;
+	/** Whether there is no tolerance: new buckets are empty, and a host admits nothing of its own accord while its leader is silent. */
+	readonly isStrict?: boolean;
+};
 
 /** Demand for one team in the other failure domains, and how much of the own domain the bucket covers. */
 export type OtherDomains = {
@@ -54,7 +59,7 @@
 	const start: TokenBucket = {
 		tokens: 0, refilledAt: now, reportedDemandPerSecond: 0, lastRetryAt: now,
 	};
-	return {...start, tokens: Math.max(otherDomains.coveredFraction, computeDomainPart((computeCovered(limit) * INITIAL_SHARE) + INITIAL_OPERATIONS, otherDomains))};
+	return limit.isStrict ? start : {...start, tokens: Math.max(otherDomains.coveredFraction, computeDomainPart((computeCovered(limit) * INITIAL_SHARE) + INITIAL_OPERATIONS, otherDomains))};
 }
 
 /** Reads the fraction of the limit that the bucket is refilled with, from 0 to 1. */
@@ -77,7 +82,7 @@
 
 /** Reads the capacity of the bucket, in operations. */
 function readCapacity(bucket: TokenBucket, limit: TeamLimit, otherDomains: OtherDomains): number {
-	const tolerance = computeDomainPart((computeCovered(limit) * TOLERANCE_SHARE) + TOLERANCE_OPERATIONS, otherDomains);
+	const tolerance = limit.isStrict ? 0 : computeDomainPart((computeCovered(limit) * TOLERANCE_SHARE) + TOLERANCE_OPERATIONS, otherDomains);
 	return Math.max(1, (limit.burst * readLimitShare(bucket, limit, otherDomains)) + tolerance);
 }
 
--- a/packages/heatherpond-fleet/src/upstream-directory.ts
+++ b/packages/heatherpond-fleet/src/upstream-directory.ts
@@ -34,7 +34,7 @@
 };
 
 /** Selects databases and lends connections to them. */
-export type UpstreamDirectory = UpstreamsPort & {
+export type UpstreamDirectory = Omit<UpstreamsPort, 'findBudget'> & {
 	/** Acquires a connection from the pool of this host, never through a relay. */
 	readonly acquireOwn: (database: string, request: ConnectionRequest) => Promise<ConnectionHandle>;
 	/** Statements in flight and open connections, by database. */
--- a/packages/heatherpond-session/src/__tests__/support/test-services.ts
+++ b/packages/heatherpond-session/src/__tests__/support/test-services.ts
@@ -35,6 +35,10 @@
 	access: 'allow' | 'unknown_key' | 'unverified';
 	/** Retry-after time of the admission control; 0 admits. */
 	admissionDelayMs: number;
+	/** Databases to which nothing may be sent, for lack of a home region or because of an evacuation. */
+	readonly forbidden: Set<string>;
+	/** By cold database: retry-after time of its budget; 0 admits. */
+	readonly budgets: Map<string, number>;
 	readonly pools: ReadonlyMap<string, ConnectionPool>;
 	/** Counts writes and transactions registered as in flight on the primary. */
 	readonly countWorkOnPrimary: () => number;
@@ -147,6 +151,8 @@
 		isReplaced: false,
 		access: 'allow',
 		admissionDelayMs: 0,
+		forbidden: new Set(),
+		budgets: new Map(),
 		pools,
 		countWorkOnPrimary: () => primaryWork,
 		services: {
@@ -173,9 +179,10 @@
 				},
 			},
 			upstreams: {
-				isPermitted: () => true,
-				hasPermitted: () => true,
-				findCandidates: (_group, {team, primary}) => DATABASES.map(id => ({
+				isPermitted: database => !test.forbidden.has(database),
+				hasPermitted: () => DATABASES.some(id => !test.forbidden.has(id)),
+				findBudget: database => test.budgets.has(database) ? async () => test.budgets.get(database)! : undefined,
+				findCandidates: (_group, {team, primary}) => DATABASES.filter(id => !test.forbidden.has(id)).map(id => ({
 					id, isPrimary: id === primary, capacity: 3, inFlight: 0, remoteInFlight: 0, hasIdleConnection: pools.get(id)!.hasIdle(team), isAtConnectionLimit: false,
 					roundTripMs: 1, isSameDomain: true, isWarmingUp: false, lastPoint: positions.findDatabasePosition(id), backoffUntil: (failedAt.get(id) ?? -1000) + 300,
 				})),
--- a/packages/heatherpond-session/src/session-services.ts
+++ b/packages/heatherpond-session/src/session-services.ts
@@ -38,6 +38,9 @@
 	readonly registerWork: (primary: Primary) => () => void;
 };
 
+/** Takes one statement from a budget; resolves to 0, or to the milliseconds after which there may be room for one. */
+export type RequestBudget = () => Promise<number>;
+
 /** Who looks for a database: the team, the primary of the group as this host knows it, and where statements may be run. */
 export type CandidateQuery = {readonly team: string; readonly primary?: string; readonly homes?: Homes};
 
@@ -55,6 +58,8 @@
 	 * @throws UpstreamError when no connection is available by the deadline
 	 */
 	readonly acquire: (database: string, request: ConnectionRequest) => Promise<ConnectionHandle>;
+	/** Finds the budget of a database that may get few statements for now; nothing for others. */
+	readonly findBudget: (database: string) => RequestBudget | undefined;
 	/** Registers a statement in flight on a database; the returned function ends the registration. */
 	readonly registerWork: (database: string) => () => void;
 	/** Records that a database failed or did not respond. */
--- a/packages/heatherpond-session/src/statement-attempts.ts
+++ b/packages/heatherpond-session/src/statement-attempts.ts
@@ -109,6 +109,10 @@
 	const isLast = running.statement.action.kind === 'commit';
 	let isOpen = false;
 	while (true) {
+		if ((!begin || isOpen) && !await waitForBudget({services, running, signal}, input.loan.database)) {
+			return {kind: 'lost', wasSent: false, reason: 'cold'};
+		}
+
 		const result = await exchangeCommand(input, {
 			needs, begin: isOpen ? undefined : begin, command, isLast,
 		});
@@ -122,6 +126,21 @@
 	}
 }
 
+/** Waits until the budget of a database has room for the next statement of an open transaction, at most until the deadline of the statement; resolves to whether there is room. */
+async function waitForBudget({services, running, signal}: StatementContext, database: string): Promise<boolean> {
+	const {clock, upstreams} = services;
+	while (!signal.aborted && clock.readNow() < running.deadline) {
+		const retryAfterMs = await upstreams.findBudget(database)?.() ?? 0;
+		if (retryAfterMs === 0) {
+			return true;
+		}
+
+		await waitUntil(clock, Math.min(running.deadline, clock.readNow() + retryAfterMs), signal);
+	}
+
+	return false;
+}
+
 /** Rolls back a transaction in the background and then returns its connection to the pool. */
 export function releaseTransaction(services: SessionServices, loan: ConnectionHandle): void {
 	const deadline: Deadline = services.clock.readNow() + ATTEMPT_TIMEOUT_MS;
@@ -151,6 +170,11 @@
 		const target = await waitForTarget(services, {
 			running, needsPrimary: context.needsPrimary, lastCommitPosition: context.state.lastCommitPosition, signal,
 		});
+		if (!await hasBudget(context, target)) {
+			await waitBeforeRetry(services, running, signal);
+			continue;
+		}
+
 		const loan = await acquireLoan(context, target);
 		if (loan) {
 			if (isTargetCurrent(services, target)) {
@@ -170,6 +194,17 @@
 	}
 }
 
+/** Takes the statement from the budget of its database, if that has one; without room, another database is tried. */
+async function hasBudget({services, running}: AttemptContext, {database}: StatementTarget): Promise<boolean> {
+	const retryAfterMs = await services.upstreams.findBudget(database)?.() ?? 0;
+	if (retryAfterMs > 0) {
+		running.failed.add(database);
+		running.lastFailureReason = 'cold';
+	}
+
+	return retryAfterMs === 0;
+}
+
 function createExchangeContext({services, running, state, needsPrimary}: AttemptContext, loan: ConnectionHandle, {primary}: StatementTarget): ExchangeContext {
 	const isRetryable = running.access === 'read' && state.phase.kind !== 'open' && !(needsPrimary && running.failed.size > 0);
 	const attemptDeadline = isRetryable ? services.clock.readNow() + ATTEMPT_TIMEOUT_MS : Number.POSITIVE_INFINITY;
