Share the log positions of primaries between hosts, and forget them after a suspension

Positions outlived a suspension that the clock did not measure, so that a read could have been sent to a replica by a position older than it seemed.

--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -188,12 +188,12 @@
 		isStopping: () => blackboard.read().isStopping,
 	});
 	usage.exchange = startUsageExchange({
-		services, messages, domains: options.domains, pollPhase, signal, isDiscovering: () => !discovery.isDone(),
+		services, messages, domains: options.domains, pollPhase, positions, signal, isDiscovering: () => !discovery.isDone(),
 		handleNewPeer() {
 			registrations.current?.registerNewPeers();
 		},
 		recordReported: limits.recordReported,
-		readHostUsage: () => ({isVerified: isHealthy(blackboard.read(), clock.readNow()), teams: limits.readUsage(), databases: upstreams.readUsage()}),
+		readHostUsage: () => ({isVerified: isHealthy(readState(), clock.readNow()), teams: limits.readUsage(), databases: upstreams.readUsage()}),
 	});
 	registrations.current = startHostRegistration({
 		services, findDomainLeader, waitUntilDiscovered: discovery.waitUntilDone, readReceivedReports: usage.exchange.readReceivedReports, findSentAt: usage.exchange.findSentAt, sendRegistered: messages.sendRegistered, signal,
--- a/packages/heatherpond-fleet/src/index.ts
+++ b/packages/heatherpond-fleet/src/index.ts
@@ -28,6 +28,7 @@
 export * from './memory-store.js';
 export * from './demand-rate.js';
 export * from './primacy.js';
+export * from './shared-positions.js';
 export * from './primary-failure-detector.js';
 export * from './primary-work.js';
 export * from './promotion-decisions.js';
--- a/packages/heatherpond-fleet/src/remote-domains.ts
+++ b/packages/heatherpond-fleet/src/remote-domains.ts
@@ -17,6 +17,8 @@
 	readonly readKnown: () => readonly UsageReport[];
 	/** Reads the recent reports. */
 	readonly readRecent: () => readonly UsageReport[];
+	/** Reads the recent reports and when they were received. */
+	readonly readReceived: () => readonly ReceivedReport[];
 	readonly hasReported: (domain: string) => boolean;
 	/** Finds the leader of a domain that has reported recently. */
 	readonly findLeaderOf: (domain: string) => HostContact | undefined;
@@ -51,6 +53,7 @@
 		},
 		readKnown: () => [...reports.values()].map(({report}) => report),
 		readRecent: () => [...reports.values()].filter(isRecent).map(({report}) => report),
+		readReceived: () => [...reports.values()].filter(isRecent),
 		hasReported: domain => reports.has(domain),
 		findLeaderOf: findRecent,
 		findReceivers(remoteHosts) {
--- a/packages/heatherpond-fleet/src/usage-exchange.ts
+++ b/packages/heatherpond-fleet/src/usage-exchange.ts
@@ -6,6 +6,7 @@
 import {
 	runPeriodically, startLoop, type Deadline, type Instant,
 } from 'heatherpond-core';
+import type {PositionTracker} from 'heatherpond-session';
 import type {FindDomainLeader} from './domain-leader.js';
 import {
 	createDomainPeers, DIGEST_EXPIRY_MS, type ReceivedReport,
@@ -18,6 +19,7 @@
 import {createRemoteDomains} from './remote-domains.js';
 import {countTeamDemand, createDatabaseUsageCache, computeTotalUsage} from './remote-usage.js';
 import type {TeamUsage} from './team-limits.js';
+import {applyReportedPositions, createReportedPositions, createReportEchoes} from './shared-positions.js';
 import type {DomainDigest, DomainUsage, UsageReport} from './usage-report.js';
 
 /** Time between two reports of a failure domain to the others, in milliseconds. */
@@ -33,10 +35,10 @@
 /** Time after the start of a host for which every domain counts that has not reported, even if none of its hosts is known, in milliseconds. */
 const DOMAIN_START_MS = 5000;
 /**
- * Number of own reports whose send times are kept. A domain leader registers this host on the basis of one of its reports;
- * a host that starts sends one to each domain peer that starts at the time, so many may be on their way.
+ * Number of own reports whose send times are kept. A domain leader registers this host on the basis of one of its reports, and
+ * others tell which one they received last; a leader sends one to each host of its domain in every poll interval.
  */
-const MAX_REMEMBERED_REPORTS = 64;
+const MAX_REMEMBERED_REPORTS = 256;
 
 /** The fields of a usage report that a host fills in from its own state. */
 export type HostUsage = Pick<UsageReport, 'isVerified' | 'teams' | 'databases'>;
@@ -83,6 +85,8 @@
 	readonly domains: readonly string[];
 	/** An instant of the schedule of this host's polls, with which it also reports. */
 	readonly pollPhase: Instant;
+	/** Log positions of primaries, which hosts share with their reports. */
+	readonly positions: PositionTracker;
 	readonly readHostUsage: () => HostUsage;
 	/** Called when the demand of this host, or of its domain if it leads it, has been reported to those whose shares depend on it. */
 	readonly recordReported: () => void;
@@ -94,7 +98,7 @@
 };
 
 /** Starts the exchange; it runs until the signal aborts. */
-export function startUsageExchange({services, messages, domains, pollPhase, readHostUsage, recordReported, isDiscovering, handleNewPeer, signal}: UsageExchangeOptions): UsageExchange {
+export function startUsageExchange({services, messages, domains, pollPhase, positions, readHostUsage, recordReported, isDiscovering, handleNewPeer, signal}: UsageExchangeOptions): UsageExchange {
 	const {clock, identity} = services;
 	const peers = createDomainPeers({
 		clock, identity, readRegistered: () => messages.readPeers().filter(({domain}) => domain === identity.domain),
@@ -117,9 +121,14 @@
 		const {host, incarnation, domain, address, port} = identity;
 		return {
 			host, incarnation, domain, address, port, sequence, isOfDomain: false, hasLeft, runningMs: Math.round(now - startedAt), ...lastOwnUsage,
+			positions: createReportedPositions(positions, now), echoes: createReportEchoes([...peers.readReports(), ...remoteDomains.readReceived()], now),
 		};
 	}
 
+	function findSentAt({incarnation, sequence: sent}: RegisteredIncarnation): Instant | undefined {
+		return incarnation === identity.incarnation ? sentAt.get(sent) : undefined;
+	}
+
 	function createDigest(own: UsageReport): DomainDigest {
 		return {own, usage: computeTotalUsage([own, ...peers.readReports().map(({report}) => report)]), members: [...peers.readMembers()]};
 	}
@@ -194,6 +203,7 @@
 			return;
 		}
 
+		applyReportedPositions(report, identity.host, findSentAt, positions);
 		databaseUsage.clear();
 		if (isDomainPeer) {
 			applyPeerReport(report);
@@ -227,6 +237,7 @@
 	}
 
 	function applyDigest(digest: DomainDigest): void {
+		applyReportedPositions(digest.own, identity.host, findSentAt, positions);
 		databaseUsage.clear();
 		const isNew = peers.applyReport(digest.own);
 		if (isNew) {
@@ -293,6 +304,7 @@
 	const stopListeningToPeers = services.blackboard.registerListener(({arePeersKnown}) => arePeersKnown, sendReportsAtOnce);
 	const stopListeningToSuspensions = registerClockListener(services.blackboard, () => {
 		sentAt.clear();
+		positions.clear();
 	});
 	signal.addEventListener('abort', () => {
 		stopListening();
@@ -324,7 +336,7 @@
 		},
 		findDomainLeader: peers.findLeader,
 		readReceivedReports: peers.readReports,
-		findSentAt: registered => registered.incarnation === identity.incarnation ? sentAt.get(registered.sequence) : undefined,
+		findSentAt,
 		isVerifiedElsewhere: () => readPeerUsage().isVerified || remoteDomains.readRecent().some(({isVerified}) => isVerified),
 		countRemoteStatements: database => databaseUsage.read(database).statements,
 		countRemoteConnections: database => databaseUsage.read(database).connections,
--- a/packages/heatherpond-fleet/src/usage-report.ts
+++ b/packages/heatherpond-fleet/src/usage-report.ts
@@ -5,6 +5,9 @@
 const teamDemandsSchema = z.custom<Record<string, number>>(value => isRecord(value) && Object.values(value).every(Number.isFinite));
 const databaseUsagesSchema = z.custom<Record<string, [number, number]>>(value => isRecord(value) && Object.values(value).every(isPair));
 
+const positionsSchema = z.custom<Record<string, [number, string, number]>>(value => isRecord(value) && Object.values(value).every(isPosition));
+const echoesSchema = z.custom<Record<string, [string, number, number]>>(value => isRecord(value) && Object.values(value).every(isEcho));
+
 function isRecord(value: unknown): value is Readonly<Record<string, unknown>> {
 	return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
@@ -13,6 +16,14 @@
 	return Array.isArray(value) && value.length === 2 && value.every(Number.isFinite);
 }
 
+function isPosition(value: unknown): boolean {
+	return Array.isArray(value) && value.length === 3 && Number.isSafeInteger(value[0]) && typeof value[1] === 'string' && /^\d+$/v.test(value[1]) && Number.isFinite(value[2]) && value[2] >= 0;
+}
+
+function isEcho(value: unknown): boolean {
+	return Array.isArray(value) && value.length === 3 && typeof value[0] === 'string' && Number.isFinite(value[1]) && Number.isFinite(value[2]) && value[2] >= 0;
+}
+
 /** Usage of one host, or the sum over all hosts of a failure domain. */
 export const usageReportSchema = z.object({
 	host: z.string(),
@@ -35,6 +46,10 @@
 	teams: teamDemandsSchema,
 	/** Statements in flight and open connections, by database. */
 	databases: databaseUsagesSchema,
+	/** Newest log positions of primaries: term, position and age in milliseconds, by group. */
+	positions: z.optional(positionsSchema),
+	/** Last report received from each host: its incarnation and sequence number, and the milliseconds since then. */
+	echoes: z.optional(echoesSchema),
 });
 
 /** A live host of a failure domain, as its leader knows it. */
--- a/packages/heatherpond-session/src/position-tracker.ts
+++ b/packages/heatherpond-session/src/position-tracker.ts
@@ -18,6 +18,9 @@
 	readonly laggedAt: Instant;
 };
 
+/** Position of the primary of a group in a term; it includes every commit acknowledged by `seenAt`. */
+export type PrimaryPosition = PositionSample & {readonly group: string; readonly term: number};
+
 /** Log positions of all groups and databases. */
 export type PositionTracker = {
 	/**
@@ -35,6 +38,10 @@
 	/** Finds the newest known position of the primary in `term`. */
 	readonly findNewestPosition: (group: string, term: number) => LogPosition | undefined;
 	readonly findDatabasePosition: (database: string) => DatabasePosition | undefined;
+	/** Reads the newest known position of the primary of each group. */
+	readonly readNewest: () => readonly PrimaryPosition[];
+	/** Forgets all positions, after a suspension that the clock did not measure: they are older than they seem. */
+	readonly clear: () => void;
 };
 
 /** Samples of a group's current term, the oldest first. */
@@ -88,6 +95,11 @@
 			return findSamples(group, term).at(-1)?.point;
 		},
 		findDatabasePosition: database => databases.get(database),
+		readNewest: () => [...groups].flatMap(([group, {term, samples}]) => samples.slice(-1).map(sample => ({group, term, ...sample}))),
+		clear() {
+			groups.clear();
+			databases.clear();
+		},
 	};
 }
 
