Fill the buckets of idle teams, and ask a domain leader again before it counts as silent

Change: a bucket holds what has accrued since its host leads the domain; a request is repeated once, and may take as long as the transfers that it can wait for.

--- a/packages/heatherpond-fleet/src/team-limits.ts
+++ b/packages/heatherpond-fleet/src/team-limits.ts
@@ -62,9 +62,11 @@
 
 /** Demand, in operations per second, up to which a team is left out of reports. */
 const MIN_REPORTED_PER_SECOND = 0.05;
-/** Time within which the domain leader must respond, in milliseconds; it may have to ask the other domains first. */
-const GRANT_TIMEOUT_MS = 150;
-/** Time for which a domain leader that has not responded is not asked again, in milliseconds. */
+/** Time within which the domain leader must respond, in milliseconds; it may have to ask the other domains first, which takes up to 120. */
+const GRANT_TIMEOUT_MS = 200;
+/** Requests that a domain leader leaves unanswered in a row before it counts as silent; a single datagram may be lost. */
+const MAX_UNANSWERED = 2;
+/** Time for which a silent domain leader is not asked again, in milliseconds. */
 const LEADER_BACKOFF_MS = 400;
 /** Size of one request to the leader: the demand of this many seconds, and at most this many operations. */
 const REQUESTED_DEMAND_S = 0.25;
@@ -90,6 +92,10 @@
 	const unusedGrants = new Map<string, UnusedGrant>();
 	const transfers = createTokenTransfers(options);
 	let leaderBackoffUntil: Instant = Number.NEGATIVE_INFINITY;
+	/** Number of requests in a row that the domain leader has not answered. */
+	let unansweredCount = 0;
+	/** Since when this host leads its domain, as far as it has reported since; its buckets fill up from then on. */
+	let leadingSince: Instant | undefined;
 
 	/** Finds the limit of a team, or of what else is limited over all hosts. */
 	function findLimit(team: string): TeamLimit | undefined {
@@ -156,7 +162,8 @@
 		const {otherDomains} = options.readUsage(team);
 		const now = clock.readNow();
 		const known = domainBuckets.get(team);
-		return known ? applyRefill(known, limit, otherDomains, now) : recordReportedDemand(createTokenBucket(limit, otherDomains, now), readDomainDemand(team, limit));
+		const bucket = known ?? recordReportedDemand(createTokenBucket(limit, otherDomains, leadingSince ?? now), readDomainDemand(team, limit));
+		return applyRefill(bucket, limit, otherDomains, now);
 	}
 
 	function hasTokens(team: string, limit: TeamLimit): boolean {
@@ -184,13 +191,30 @@
 			: {granted: 0, retryAfterMs: START_RETRY_AFTER_MS};
 	}
 
+	/** Requests operations from the domain leader, a second time when the first request is not answered; resolves to nothing when the leader is silent. */
+	async function requestUnlessSilent(leader: HostContact, team: string, wanted: number): Promise<Grant | undefined> {
+		if (clock.readNow() < leaderBackoffUntil) {
+			return undefined;
+		}
+
+		const response = await options.requestGrant(leader, {team, wanted}, clock.readNow() + GRANT_TIMEOUT_MS);
+		unansweredCount = response ? 0 : unansweredCount + 1;
+		if (response) {
+			return response;
+		}
+
+		if (unansweredCount < MAX_UNANSWERED) {
+			return requestUnlessSilent(leader, team, wanted);
+		}
+
+		leaderBackoffUntil = clock.readNow() + LEADER_BACKOFF_MS;
+		return undefined;
+	}
+
 	async function requestFromLeader(leader: HostContact, team: string, limit: TeamLimit): Promise<number> {
 		const rate = readDemand(demands.get(team), limit, clock.readNow());
 		const wanted = limit.isStrict ? 1 : Math.min(MAX_REQUESTED, Math.max(1, Math.ceil(rate * REQUESTED_DEMAND_S)));
-		const response = clock.readNow() < leaderBackoffUntil ? undefined : await options.requestGrant(leader, {team, wanted}, clock.readNow() + GRANT_TIMEOUT_MS);
-		if (!response && clock.readNow() >= leaderBackoffUntil) {
-			leaderBackoffUntil = clock.readNow() + LEADER_BACKOFF_MS;
-		}
+		const response = await requestUnlessSilent(leader, team, wanted);
 
 		if (response) {
 			// A bucket that fills up beside the leader's would count the burst of the limit twice.
@@ -235,6 +259,9 @@
 		readUsage() {
 			if (options.findDomainLeader() !== undefined) {
 				domainBuckets.clear();
+				leadingSince = undefined;
+			} else if (isEntitled()) {
+				leadingSince ??= clock.readNow();
 			}
 
 			const now = clock.readNow();
