Do not replace a primary for being overloaded, and leave a promotion to its holder

Each promotion was followed by some 30 writes to the store: hosts that learned of it from its holder did not know the holder's lease yet and tried to take it over. Tests seen failing before: overload for 2 s, 12 hosts and at most six writes.

--- a/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
+++ b/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
@@ -15,6 +15,8 @@
 	position: bigint;
 	/** Does not respond to status requests. */
 	isUnresponsive: boolean;
+	/** Accepts connections, but does not answer status requests. */
+	isOverloaded: boolean;
 	/** Rejects status requests because it has no free connection slot. */
 	isFull: boolean;
 };
@@ -120,12 +122,16 @@
 	async function requestStatus(id: string, deadline: number, change: (database: TestDatabase) => void): Promise<DatabaseStatus> {
 		const database = databases.get(id)!;
 		await new Promise<void>(resolve => {
-			clock.registerTimer(database.isUnresponsive ? deadline : clock.readNow() + STATUS_LATENCY_MS, resolve);
+			clock.registerTimer(database.isUnresponsive || database.isOverloaded ? deadline : clock.readNow() + STATUS_LATENCY_MS, resolve);
 		});
 		if (database.isUnresponsive) {
 			throw new Error('database did not respond before the deadline');
 		}
 
+		if (database.isOverloaded) {
+			throw createUpstreamError('database did not answer before the deadline', 'unresponsive', false);
+		}
+
 		if (database.isFull) {
 			throw createUpstreamError('database has no free connection slot', 'too_many', false);
 		}
@@ -259,6 +265,6 @@
 		upstream: {
 			id, group: GROUP, host: id, port: 1, domain, capacity: 3, isLeaving: false, claimsPrimary: index === 0, isWarmingUp: false, startedAt: 0,
 		},
-		isPrimary: index === 0, term: 1, position: BigInt(100 - index), isUnresponsive: false, isFull: false,
+		isPrimary: index === 0, term: 1, position: BigInt(100 - index), isUnresponsive: false, isOverloaded: false, isFull: false,
 	};
 }
--- a/packages/heatherpond-fleet/src/__tests__/unit/promotion.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/promotion.test.ts
@@ -85,6 +85,44 @@
 		expect(findPrimary(fleet.hosts[0]!)?.database).toBe('db-1');
 	});
 
+	test('is not replaced while it is overloaded: it accepts connections but answers too late', async () => {
+		await startFleet('host-1', 'host-2', 'host-3');
+		fleet.databases.get('db-1')!.isOverloaded = true;
+		fleet.hosts.forEach(host => {
+			recordFailure(host, 'db-1');
+		});
+		await advance(fleet.clock, 2000);
+		fleet.databases.get('db-1')!.isOverloaded = false;
+		await advance(fleet.clock, 3000);
+		expect(fleet.promotionRequests).toEqual([]);
+		expect(findPrimary(fleet.hosts[0]!)?.database).toBe('db-1');
+	});
+
+	test('is replaced within 6 s when it accepts connections and never answers', async () => {
+		await startFleet('host-1', 'host-2', 'host-3');
+		fleet.databases.get('db-1')!.isOverloaded = true;
+		fleet.hosts.forEach(host => {
+			recordFailure(host, 'db-1');
+		});
+		expect(await measureUntilPrimary('db-2', 6000)).toBeGreaterThan(2000);
+		expect(fleet.promotionRequests).toHaveLength(1);
+	});
+
+	test('is replaced with few writes to the store, because hosts that learn of the promotion leave it to its holder', async () => {
+		const names = Array.from({length: 12}, (_, index) => `host-${index + 1}`);
+		await startFleet(...names);
+		await advance(fleet.clock, 4000);
+		let writes = 0;
+		fleet.store.setFaults(({kind}) => {
+			writes += kind === 'write' ? 1 : 0;
+			return undefined;
+		});
+		failPrimary();
+		await measureUntilPrimary('db-2', 5000);
+		// The intent, the candidate and the new primary, one conflicting attempt at the intent, and registrations in the meantime.
+		expect(writes).toBeLessThanOrEqual(6);
+	});
+
 	test('is replaced within 1.5 s when one host cannot reach the store', async () => {
 		await startFleet('host-1', 'host-2', 'host-3');
 		fleet.store.setFaults(({caller}) => caller === 'host-3' ? 'silent' : undefined);
--- a/packages/heatherpond-fleet/src/primary-failure-detector.ts
+++ b/packages/heatherpond-fleet/src/primary-failure-detector.ts
@@ -1,7 +1,8 @@
 /**
  * Detects primaries that do not respond to this host and reports them to the other hosts. A failed statement only starts a
  * series of probes, each on a new connection. A primary that only one of several hosts suspects is not replaced, because
- * the fault may lie with that host.
+ * the fault may lie with that host. A primary that accepts connections without answering in time may just be overloaded; to
+ * replace it would move the load to another database with fewer left, so that gets more time.
  */
 import {waitUntil} from 'heatherpond-core';
 import {UpstreamError} from 'heatherpond-session';
@@ -23,6 +24,8 @@
 const ROUND_INTERVAL_MS = 200;
 /** Number of failed rounds after which a suspicion that has not led to a promotion is written to the store. */
 const ROUNDS_BEFORE_WRITE = 2;
+/** Number of rounds in a row without an answer after which a primary is suspected although it accepts connections. */
+const UNRESPONSIVE_ROUNDS = 4;
 const STORE_TIMEOUT_MS = 500;
 
 /** Creates the failure detector, which probes until the signal aborts. */
@@ -51,13 +54,23 @@
 async function checkPrimary(services: FleetServices, suspect: Suspect, signal: AbortSignal): Promise<void> {
 	const {clock} = services;
 	let failedRounds = 0;
+	let unresponsiveRounds = 0;
 	let isWritten = false;
 	while (!signal.aborted && findGroup(services, suspect.database) === suspect.group) {
-		if (await hasAnsweredProbes(services, suspect, signal)) {
+		const outcome = await runProbes(services, suspect, signal);
+		if (outcome === 'answered') {
 			await endSuspicion(services, suspect, {isSuspected: failedRounds > 0, isWritten});
 			return;
 		}
 
+		unresponsiveRounds = outcome === 'unresponsive' ? unresponsiveRounds + 1 : 0;
+		const isSuspect = outcome === 'silent' || failedRounds > 0 || unresponsiveRounds >= UNRESPONSIVE_ROUNDS;
+		if (!isSuspect) {
+			services.writeEvent('primary_unresponsive', {group: suspect.group, database: suspect.database, rounds: unresponsiveRounds});
+			await waitUntil(clock, clock.readNow() + ROUND_INTERVAL_MS, signal);
+			continue;
+		}
+
 		failedRounds++;
 		notifySuspicion(services, suspect, true);
 		if (failedRounds >= ROUNDS_BEFORE_WRITE && !isWritten) {
@@ -78,29 +91,41 @@
 	}
 }
 
-/** Sends two overlapping probes; resolves to whether at least one was answered. */
-async function hasAnsweredProbes(services: FleetServices, suspect: Suspect, signal: AbortSignal): Promise<boolean> {
-	const first = hasAnsweredProbe(services, suspect);
+/** What a probe, or a round of them, shows of a database. */
+type ProbeOutcome = 'answered' | 'unresponsive' | 'silent';
+
+/** Sends two overlapping probes; resolves to the better outcome. */
+async function runProbes(services: FleetServices, suspect: Suspect, signal: AbortSignal): Promise<ProbeOutcome> {
+	const first = runProbe(services, suspect);
 	await waitUntil(services.clock, services.clock.readNow() + PROBE_INTERVAL_MS, signal);
-	const results = await Promise.all([first, hasAnsweredProbe(services, suspect)]);
-	return results.includes(true);
+	const outcomes = await Promise.all([first, runProbe(services, suspect)]);
+	return (['answered', 'unresponsive'] as const).find(outcome => outcomes.includes(outcome)) ?? 'silent';
 }
 
-async function hasAnsweredProbe({clock, blackboard, databases}: FleetServices, {database}: Suspect): Promise<boolean> {
+async function runProbe({clock, blackboard, databases}: FleetServices, {database}: Suspect): Promise<ProbeOutcome> {
 	const upstream = blackboard.read().upstreams.get(database);
 	if (!upstream) {
-		return false;
+		return 'silent';
 	}
 
 	try {
 		await databases.requestStatus(upstream, clock.readNow() + PROBE_TIMEOUT_MS);
-		return true;
+		return 'answered';
 	} catch (error) {
-		// A database that rejects the connection for lack of slots is alive. The caller logs unanswered probes.
-		return error instanceof UpstreamError && error.failure === 'too_many';
+		return convertProbeError(error);
 	}
 }
 
+/** A database that rejects a connection or a request for lack of slots is alive. The caller logs unanswered probes. */
+function convertProbeError(error: unknown): ProbeOutcome {
+	const failure = error instanceof UpstreamError ? error.failure : 'silent';
+	if (failure === 'too_many') {
+		return 'answered';
+	}
+
+	return failure === 'unresponsive' ? 'unresponsive' : 'silent';
+}
+
 /** Notifies the domain leaders that this host suspects the primary, or no longer does. */
 function notifySuspicion(services: FleetServices, suspect: Suspect, isSuspected: boolean): void {
 	const record = createSuspicion(services, suspect);
--- a/packages/heatherpond-fleet/src/promotion-controller.ts
+++ b/packages/heatherpond-fleet/src/promotion-controller.ts
@@ -55,6 +55,8 @@
 /** Additional delay in milliseconds of hosts that are not preferred. */
 const NON_PREFERRED_DELAY_MS = 250;
 const RETRY_DELAY_MS = 250;
+/** Milliseconds within which every host that reaches the store has read the lease of a promotion that it knows of. */
+const LEASE_READ_MS = 1500;
 /** Milliseconds that hosts which are not preferred leave the preferred ones to record the initial primaries. */
 const NON_PREFERRED_RECORD_DELAY_MS = 2500;
 
@@ -189,7 +191,7 @@
  * conditional writes of that holder fail.
  */
 async function takeOverPromotions(controller: Controller, state: FleetState): Promise<void> {
-	const unhandled = findUnhandledPromotions(controller, state);
+	const unhandled = findUnhandledPromotions(controller, state).filter(primacy => isAbandoned(controller, state, primacy));
 	if (unhandled.length === 0) {
 		return;
 	}
@@ -208,6 +210,16 @@
 	}
 }
 
+/**
+ * Whether a promotion whose holder's lease is not known here may be taken over. Records of promotions also come directly from
+ * their holders, before the lease has been read from the store.
+ */
+function isAbandoned({services: {clock}, firstSeenAt}: Controller, {duty}: FleetState, {record}: Versioned<PrimacyRecord>): boolean {
+	const {id, holder} = record.promotion!;
+	const isLeaseKnown = holder === undefined || duty?.record.incarnation === holder.incarnation;
+	return isLeaseKnown || clock.readNow() >= (firstSeenAt.get(id) ?? Number.POSITIVE_INFINITY) + LEASE_READ_MS;
+}
+
 async function startDuePromotion(controller: Controller, state: FleetState): Promise<void> {
 	const {services, runningGroups} = controller;
 	const {clock, blackboard} = services;
--- a/packages/heatherpond-session/src/session-error.ts
+++ b/packages/heatherpond-session/src/session-error.ts
@@ -16,6 +16,8 @@
 	= | 'closed'
 	/** No response arrived before the deadline. */
 		| 'silent'
+	/** The database accepted the connection, but no response arrived before the deadline; it may be overloaded. */
+		| 'unresponsive'
 	/** The database is at its connection limit, or no pooled connection became free before the deadline. */
 		| 'too_many'
 	/** A different database responds at the address. */
