Let statements wait in an ordered queue of the host in front of each database

Cause: up to 61 statements waited inside a database with 5 slots, in order of arrival, out of reach of priority, fairness and deadlines; what could not be served waited until its deadline. A statement that cannot be run in time is refused at once, as not run, with the time at which room is expected.

--- a/packages/heatherpond-fleet/src/relay-client.ts
+++ b/packages/heatherpond-fleet/src/relay-client.ts
@@ -1,7 +1,7 @@
 /** Sends statements to databases through connections that other hosts, the relays, have open. */
 import type {Clock, Deadline, Instant} from 'heatherpond-core';
 import {
-	createUpstreamError, type ConnectionHandle, type ConnectionRequest, type StepResult, type UpstreamFailure, type ConnectionStep, type WriteEvent,
+	createOverloadError, createUpstreamError, type ConnectionHandle, type ConnectionRequest, type StepResult, type UpstreamFailure, type ConnectionStep, type WriteEvent,
 } from 'heatherpond-session';
 import type {HostRecord} from './fleet-records.js';
 import type {HostLink, HostLinkPort} from './host-links.js';
@@ -111,7 +111,7 @@
 					recordFailure(relayLink.relay.host, BACKOFF_MS);
 				}
 
-				relayLink.waiting.get(message.loan)?.reject(createUpstreamError(message.reason, message.failure satisfies UpstreamFailure, message.wasSent));
+				relayLink.waiting.get(message.loan)?.reject(message.failure === 'overloaded' ? createOverloadError(message.retryAfterMs ?? 0) : createUpstreamError(message.reason, message.failure satisfies UpstreamFailure, message.wasSent));
 				break;
 			}
 
--- a/packages/heatherpond-fleet/src/relay-messages.ts
+++ b/packages/heatherpond-fleet/src/relay-messages.ts
@@ -53,12 +53,14 @@
 ]);
 
 /** Reason of a failed step, with the values of UpstreamFailure in the session package. */
-const failureSchema = z.enum(['closed', 'silent', 'unresponsive', 'too_many', 'wrong_database', 'unreadable', 'evacuated', 'relay']);
+const failureSchema = z.enum(['closed', 'silent', 'unresponsive', 'too_many', 'wrong_database', 'unreadable', 'overloaded', 'evacuated', 'relay']);
 
 const messageSchema = z.discriminatedUnion('kind', [
 	/** Acquires a connection and runs the first step on it. `loan` identifies the connection on its link until it is released. */
 	z.object({
 		kind: z.literal('first-step'), loan: z.number(), database: z.string(), team: z.string(), priority: z.number(), variables: variablesSchema, step: stepSchema,
+		/** Time left until the operation misses its target latency, in milliseconds. */
+		objectiveMs: z.optional(z.number()),
 	}),
 	z.object({kind: z.literal('step'), loan: z.number(), step: stepSchema}),
 	z.object({kind: z.literal('release'), loan: z.number(), isClean: z.boolean()}),
@@ -66,6 +68,8 @@
 	z.object({kind: z.literal('end'), loan: z.number(), end: endSchema}),
 	z.object({
 		kind: z.literal('failure'), loan: z.number(), failure: failureSchema, wasSent: z.boolean(), reason: z.string(),
+		/** When room is expected on an overloaded database, in milliseconds. */
+		retryAfterMs: z.optional(z.number()),
 	}),
 	z.object({kind: z.literal('ping')}),
 	z.object({kind: z.literal('pong')}),
--- a/packages/heatherpond-fleet/src/relay-server.ts
+++ b/packages/heatherpond-fleet/src/relay-server.ts
@@ -72,11 +72,12 @@
 		return acquireConnection(message);
 	}
 
-	async function acquireConnection({loan, database, team, priority, variables, step}: FirstStep): Promise<ConnectionHandle> {
+	async function acquireConnection({loan, database, team, priority, variables, objectiveMs, step}: FirstStep): Promise<ConnectionHandle> {
 		const lifetime = new AbortController();
 		servedConnections.set(loan, {lifetime});
 		const connection = await options.acquire(database, {
 			team, priority, variables, deadline: clock.readNow() + step.remainingMs, signal: lifetime.signal,
+			objective: objectiveMs === undefined ? undefined : clock.readNow() + objectiveMs,
 		});
 		if (lifetime.signal.aborted) {
 			connection.release(true);
@@ -127,7 +128,7 @@
 		}
 
 		send({
-			kind: 'failure', loan, failure: error.failure, wasSent: error.wasSent, reason: error.message,
+			kind: 'failure', loan, failure: error.failure, wasSent: error.wasSent, reason: error.message, retryAfterMs: error.retryAfterMs,
 		});
 	}
 
--- a/packages/heatherpond-fleet/src/relayed-connection.ts
+++ b/packages/heatherpond-fleet/src/relayed-connection.ts
@@ -22,7 +22,7 @@
 };
 
 /** Creates a handle. The relay acquires the connection on the first step, and releases it when the handle ends. */
-export function createRelayedConnection({database, request: {team, priority, variables}, loan, clock, exchange, send}: RelayedConnectionOptions): ConnectionHandle {
+export function createRelayedConnection({database, request: {team, priority, variables, objective}, loan, clock, exchange, send}: RelayedConnectionOptions): ConnectionHandle {
 	let phase: 'new' | 'open' | 'ended' = 'new';
 
 	function createMessage(step: ConnectionStep): StepMessage {
@@ -30,6 +30,7 @@
 		return phase === 'new'
 			? {
 				kind: 'first-step', loan, database, team, priority, variables: new Map(variables), step: encoded,
+				objectiveMs: objective === undefined ? undefined : Math.round(objective - clock.readNow()),
 			}
 			: {kind: 'step', loan, step: encoded};
 	}
--- a/packages/heatherpond-fleet/src/upstream-directory.ts
+++ b/packages/heatherpond-fleet/src/upstream-directory.ts
@@ -1,7 +1,7 @@
 /** The databases that this host uses: their connection pools, load, latency and failures. */
 import type {Clock, Instant} from 'heatherpond-core';
 import {
-	createConnectionPool, createUpstreamError, type ConnectionPool, type ConnectionHandle, type CandidateQuery, type ConnectionRequest, type Homes, type PositionTracker, type UpstreamCandidate, type UpstreamConnection, type UpstreamsPort,
+	acquireQueuedHandle, createConnectionPool, createStatementQueue, createUpstreamError, type StatementQueue, type ConnectionPool, type ConnectionHandle, type CandidateQuery, type ConnectionRequest, type Homes, type PositionTracker, type UpstreamCandidate, type UpstreamConnection, type UpstreamsPort,
 } from 'heatherpond-session';
 import type {HostRecord} from './fleet-records.js';
 import type {FleetBlackboard} from './fleet-state.js';
@@ -47,6 +47,7 @@
 /** State kept for one database. */
 type UpstreamEntry = {
 	readonly pool: ConnectionPool;
+	readonly queue: StatementQueue;
 	inFlight: number;
 	avoidedUntil: Instant;
 	/** Moving average of the latency of statements, in milliseconds. */
@@ -68,6 +69,9 @@
 const RESERVED_SHARE = 0.2;
 /** Connections that a host may open itself to a database with relays; when it can reach none of them, the reserved share. */
 const FALLBACK_CONNECTIONS = 1;
+/** Statements that all hosts together may have running on a database, as a multiple of what it runs at once, and the least for one host. */
+const RUNNING_PER_SLOT = 1.5;
+const MIN_RUNNING = 2;
 /** Weight of a new sample in the moving average of the latency. */
 const LATENCY_MEAN_WEIGHT = 0.1;
 /** Assumed round-trip times to a database in the same failure domain, in the same region and elsewhere, in milliseconds. */
@@ -95,6 +99,7 @@
 				isDraining: () => !isUsable(findUpstream(upstream.id)),
 				random: options.random,
 			}),
+			queue: createStatementQueue({clock, random: options.random, readLimit: () => readStatementLimit(findUpstream(upstream.id) ?? upstream)}),
 			inFlight: 0, avoidedUntil: 0, meanMs: 0, failures: 0,
 		};
 		entries.set(upstream.id, created);
@@ -156,6 +161,17 @@
 		return Math.max(1, Math.floor(total / hosts), (entries.get(upstream.id)?.pool.countOpen() ?? 0) + Math.floor(unused / hosts));
 	}
 
+	/**
+	 * Reads how many statements this host may have running on a database: an equal part of somewhat more than the database runs at once,
+	 * so that it is never idle while statements wait, or more while others leave their parts unused.
+	 */
+	function readStatementLimit(upstream: Upstream): number {
+		const total = Math.max(1, upstream.capacity) * RUNNING_PER_SLOT;
+		const databaseRelays = findDatabaseRelays(upstream);
+		const holders = databaseRelays.length > 0 ? databaseRelays.length : options.readHosts().length;
+		return Math.max(MIN_RUNNING, Math.ceil(total / holders), total - options.readRemoteUsage(upstream.id).statements);
+	}
+
 	/** A host that reaches none of the relays of a database is probably cut off from them, and then has the reserved connections for itself. */
 	function readFallbackLimit({group}: Upstream, databaseRelays: readonly HostRecord[]): number {
 		const maxConnections = blackboard.read().contracts?.groups.get(group)?.maxConnections ?? 1;
@@ -203,7 +219,10 @@
 		}
 
 		places.checkOpen(upstream);
-		return places.createGuardedHandle(await findEntry(upstream).pool.acquire(request));
+		const {pool, queue} = findEntry(upstream);
+		return acquireQueuedHandle({
+			clock, queue, request, acquire: async () => places.createGuardedHandle(await pool.acquire(request)),
+		});
 	}
 
 	return {
@@ -242,7 +261,7 @@
 		},
 		recordFailure(database, reason, at) {
 			const entry = entries.get(database);
-			if (!entry || reason === 'too_many' || reason === 'relay' || reason === 'evacuated') {
+			if (!entry || reason === 'too_many' || reason === 'relay' || reason === 'evacuated' || reason === 'overloaded') {
 				return;
 			}
 
--- a/packages/heatherpond-session/src/connection-handle.ts
+++ b/packages/heatherpond-session/src/connection-handle.ts
@@ -63,6 +63,8 @@
 	/** Session variables; an idle connection that already has them is preferred. */
 	readonly variables: ReadonlyMap<string, string>;
 	readonly deadline: Deadline;
+	/** When the operation misses its target latency; by default the deadline. */
+	readonly objective?: Deadline;
 	/** Cancels the wait. */
 	readonly signal: AbortSignal;
 };
--- a/packages/heatherpond-session/src/session-error.ts
+++ b/packages/heatherpond-session/src/session-error.ts
@@ -24,6 +24,8 @@
 		| 'wrong_database'
 	/** The response could not be parsed. */
 		| 'unreadable'
+	/** The statement could not be run before its deadline, because too many others wait for the database. */
+		| 'overloaded'
 	/** The failure domain of the database is evacuated, so nothing is sent to it any more. */
 		| 'evacuated'
 	/** The host that relays the connection cannot be reached; the database itself may be healthy. */
@@ -32,7 +34,7 @@
 const NO_FAILURE = 'closed' as UpstreamFailure;
 
 /** A command or connection attempt at a database failed without a usable response; `wasSent` tells whether the command may have reached it. */
-export const UpstreamError = SessionError.subclass('UpstreamError', {props: {failure: NO_FAILURE, wasSent: false}});
+export const UpstreamError = SessionError.subclass('UpstreamError', {props: {failure: NO_FAILURE, wasSent: false, retryAfterMs: 0}});
 
 /** Creates the error that aborts a statement with a refusal. */
 export function createRefusedError(refusal: Refusal): Error {
@@ -43,3 +45,8 @@
 export function createUpstreamError(message: string, failure: UpstreamFailure, wasSent: boolean): Error {
 	return new UpstreamError(message, {props: {failure, wasSent}});
 }
+
+/** Creates the error of a statement for which a database has no room; `retryAfterMs` is when room is expected. */
+export function createOverloadError(retryAfterMs: number): Error {
+	return new UpstreamError('too many statements wait for the database', {props: {failure: 'overloaded', wasSent: false, retryAfterMs}});
+}
--- a/packages/heatherpond-session/src/statement-attempts.ts
+++ b/packages/heatherpond-session/src/statement-attempts.ts
@@ -219,7 +219,8 @@
 		&& running.access === 'read' && running.attempts < 3 && !needsPrimary;
 }
 
-async function acquireLoan({services, running, state, signal}: AttemptContext, {database}: StatementTarget): Promise<ConnectionHandle | undefined> {
+async function acquireLoan(context: AttemptContext, {database}: StatementTarget): Promise<ConnectionHandle | undefined> {
+	const {services, running, state, signal} = context;
 	const endWork = services.upstreams.registerWork(database);
 	try {
 		return await services.upstreams.acquire(database, {
@@ -227,6 +228,7 @@
 			priority: running.route.priority,
 			homes: running.homes,
 			deadline: running.deadline,
+			objective: running.arrivedAt + running.route.targetLatencyMs,
 			signal,
 			variables: state.variables,
 		});
@@ -241,14 +243,29 @@
 		services.writeEvent('connection_failed', {
 			request: running.statement.id, database, reason: error.failure, attempt: running.attempts,
 		});
+		checkAlternatives(context, error.failure, error.retryAfterMs);
 		return undefined;
 	} finally {
 		endWork();
 	}
 }
 
+/**
+ * Checks whether an overloaded database leaves another one to try.
+ *
+ * @throws RefusedError with the time at which room is expected, when every database that could run the statement has been tried
+ */
+function checkAlternatives({services, running, needsPrimary}: AttemptContext, failure: string, retryAfterMs: number): void {
+	const {route: {group}, team, homes, failed} = running;
+	const isTriedEverywhere = (): boolean => services.upstreams.findCandidates(group, {team, homes}).every(({id}) => failed.has(id));
+	if (failure === 'overloaded' && (needsPrimary || isTriedEverywhere())) {
+		throw createRefusedError(createRefusal('busy', 'too many statements wait for the database', Math.max(1, Math.round(retryAfterMs))));
+	}
+}
+
 /** Records a failed attempt; throws a RefusedError if a write may have been applied, so that it must not be retried. */
-function handleFailedAttempt({services, running}: AttemptContext, {database}: StatementTarget, result: ExchangeResult): void {
+function handleFailedAttempt(context: AttemptContext, {database}: StatementTarget, result: ExchangeResult): void {
+	const {services, running} = context;
 	const reason = result.kind === 'answered' ? 'failed' : result.reason;
 	running.failed.add(database);
 	running.lastFailureReason = reason;
@@ -258,6 +275,8 @@
 	if (result.kind === 'lost' && result.wasSent && running.access === 'write') {
 		throw createRefusedError(createRefusal('in_doubt', `the outcome of the write is unknown, its response was lost: ${reason}`));
 	}
+
+	checkAlternatives(context, reason, result.kind === 'lost' ? result.retryAfterMs ?? 0 : 0);
 }
 
 function checkRetryAllowed({services, running, signal}: AttemptContext): void {
--- a/packages/heatherpond-session/src/statement-exchange.ts
+++ b/packages/heatherpond-session/src/statement-exchange.ts
@@ -12,7 +12,7 @@
 	/** The database rejected the command without running it. */
 		| {readonly kind: 'not_run'; readonly answer: UpstreamResponse; readonly reason: string}
 	/** The connection failed; the command may have been run if `wasSent` is set. */
-		| {readonly kind: 'lost'; readonly wasSent: boolean; readonly reason: string};
+		| {readonly kind: 'lost'; readonly wasSent: boolean; readonly reason: string; readonly retryAfterMs?: number};
 
 /** Connection, services and deadline of an exchange. */
 export type ExchangeContext = {
@@ -89,5 +89,7 @@
 	}
 
 	services.upstreams.recordFailure(database, error.failure, services.clock.readNow());
-	return {kind: 'lost', wasSent: error.wasSent, reason: error.failure};
+	return {
+		kind: 'lost', wasSent: error.wasSent, reason: error.failure, retryAfterMs: error.retryAfterMs,
+	};
 }
