Choose databases by learned statement times and distances

Cause: a queue was estimated with 15 ms a statement and a way with 1, 4 or 30 ms, whatever statements and links take; hosts with the same reports all chose the same database. Change: statements carry how long they ran and how long a relay held them; times are learned by database, group and domain; about equal databases are chosen at random. The mean latency that nobody read is gone.

--- a/packages/heatherpond-fleet/src/relay-messages.ts
+++ b/packages/heatherpond-fleet/src/relay-messages.ts
@@ -47,7 +47,11 @@
 });
 
 const endSchema = z.discriminatedUnion('kind', [
-	z.object({kind: z.literal('answered'), answer: answerSchema}),
+	z.object({
+		kind: z.literal('answered'), answer: answerSchema,
+		/** Milliseconds that the step ran on the database, and that the relay held it in all. */
+		timing: z.optional(z.object({ranMs: z.number(), heldMs: z.optional(z.number())})),
+	}),
 	z.object({kind: z.literal('refused'), answer: answerSchema}),
 	z.object({kind: z.literal('prepared')}),
 ]);
--- a/packages/heatherpond-fleet/src/relay-server.ts
+++ b/packages/heatherpond-fleet/src/relay-server.ts
@@ -1,7 +1,7 @@
 /** Server of a relay: runs statements of other hosts on the connections of this host. */
 import type {Clock} from 'heatherpond-core';
 import {
-	createUpstreamError, UpstreamError, type ConnectionHandle, type Primary, type UpstreamsPort, type WriteEvent,
+	createUpstreamError, UpstreamError, type ConnectionHandle, type Primary, type StepResult, type UpstreamsPort, type WriteEvent,
 } from 'heatherpond-session';
 import type {HostLink, HostLinkPort} from './host-links.js';
 import {
@@ -31,6 +31,11 @@
 /** Time limit for rolling back a transaction after a failed step or a closed link, in milliseconds. */
 const ROLLBACK_TIMEOUT_MS = 350;
 
+/** Adds how long the relay held a step to its result. */
+function recordHeldTime(result: StepResult, heldMs: number): StepResult {
+	return result.kind === 'answered' && result.timing ? {...result, timing: {ranMs: Math.round(result.timing.ranMs), heldMs: Math.round(heldMs)}} : result;
+}
+
 /** Starts to serve links that other hosts open. */
 export function startRelayServer(options: RelayServerOptions): void {
 	options.links.registerServer(link => {
@@ -90,6 +95,7 @@
 
 	async function runStep(message: Step): Promise<void> {
 		const {loan} = message;
+		const receivedAt = clock.readNow();
 		const step = decodeStep(message.step, clock);
 		try {
 			const connection = await findConnection(message);
@@ -97,7 +103,7 @@
 				throw createUpstreamError('database is no longer primary', 'closed', false);
 			}
 
-			const end = await connection.run(step);
+			const end = recordHeldTime(await connection.run(step), clock.readNow() - receivedAt);
 			send({kind: 'end', loan, end: encodeStepEnd(end)});
 			if (end.kind !== 'prepared' && step.isLast && end.answer.state === 'idle') {
 				stopServing(loan, idle => {
--- a/packages/heatherpond-fleet/src/upstream-directory.ts
+++ b/packages/heatherpond-fleet/src/upstream-directory.ts
@@ -1,7 +1,7 @@
 /** The databases that this host uses: their connection pools, load, latency and failures. */
 import type {Clock, Instant} from 'heatherpond-core';
 import {
-	acquireQueuedHandle, createConnectionPool, createStatementQueue, createUpstreamError, type StatementQueue, type ConnectionPool, type ConnectionHandle, type CandidateQuery, type ConnectionRequest, type Homes, type PositionTracker, type UpstreamCandidate, type UpstreamConnection, type UpstreamsPort,
+	acquireQueuedHandle, createConnectionPool, createLearnedTimes, createStatementQueue, createUpstreamError, type StepTiming, type StatementQueue, type ConnectionPool, type ConnectionHandle, type CandidateQuery, type ConnectionRequest, type Homes, type PositionTracker, type UpstreamCandidate, type UpstreamConnection, type UpstreamsPort,
 } from 'heatherpond-session';
 import type {HostRecord} from './fleet-records.js';
 import type {FleetBlackboard} from './fleet-state.js';
@@ -50,8 +50,6 @@
 	readonly queue: StatementQueue;
 	inFlight: number;
 	avoidedUntil: Instant;
-	/** Moving average of the latency of statements, in milliseconds. */
-	meanMs: number;
 	/** Consecutive failures. */
 	failures: number;
 };
@@ -72,9 +70,7 @@
 /** Statements that all hosts together may have running on a database, as a multiple of what it runs at once, and the least for one host. */
 const RUNNING_PER_SLOT = 1.5;
 const MIN_RUNNING = 2;
-/** Weight of a new sample in the moving average of the latency. */
-const LATENCY_MEAN_WEIGHT = 0.1;
-/** Assumed round-trip times to a database in the same failure domain, in the same region and elsewhere, in milliseconds. */
+/** Round-trip times to a database in the same failure domain, in the same region and elsewhere, in milliseconds, assumed until they have been measured. */
 const DOMAIN_ROUND_TRIP_MS = 1;
 const REGION_ROUND_TRIP_MS = 4;
 const REMOTE_ROUND_TRIP_MS = 30;
@@ -83,6 +79,7 @@
 export function createUpstreamDirectory(options: UpstreamDirectoryOptions): UpstreamDirectory {
 	const {clock, blackboard, positions, places} = options;
 	const entries = new Map<string, UpstreamEntry>();
+	const times = createLearnedTimes();
 	const relays = createRelaySelectionCache();
 
 	function findEntry(upstream: Upstream): UpstreamEntry {
@@ -100,7 +97,7 @@
 				random: options.random,
 			}),
 			queue: createStatementQueue({clock, random: options.random, readLimit: () => readStatementLimit(findUpstream(upstream.id) ?? upstream)}),
-			inFlight: 0, avoidedUntil: 0, meanMs: 0, failures: 0,
+			inFlight: 0, avoidedUntil: 0, failures: 0,
 		};
 		entries.set(upstream.id, created);
 		return created;
@@ -186,12 +183,25 @@
 		return hasOwnPart && unused < total * SCARCE_UNUSED_SHARE ? SCARCE_IDLE_TIMEOUT_MS : IDLE_TIMEOUT_MS;
 	}
 
-	function readRoundTrip(upstream: Upstream): number {
-		if (upstream.domain === options.domain) {
+	function readRoundTrip({domain}: Upstream): number {
+		return times.readRoundTripMs(domain, readAssumedRoundTrip(domain));
+	}
+
+	function readAssumedRoundTrip(domain: string): number {
+		if (domain === options.domain) {
 			return DOMAIN_ROUND_TRIP_MS;
 		}
 
-		return options.readRegion(upstream.domain) === options.readRegion(options.domain) ? REGION_ROUND_TRIP_MS : REMOTE_ROUND_TRIP_MS;
+		return options.readRegion(domain) === options.readRegion(options.domain) ? REGION_ROUND_TRIP_MS : REMOTE_ROUND_TRIP_MS;
+	}
+
+	/** Learns from a response. What a database ran for is known from the connection itself, the way to it only through a relay. */
+	function recordTiming(upstream: Upstream, elapsedMs: number, {ranMs, heldMs}: StepTiming): void {
+		const wayMs = heldMs === undefined ? readRoundTrip(upstream) : 0;
+		times.recordStatement(upstream.group, upstream.id, Math.max(0, ranMs - wayMs));
+		if (heldMs !== undefined) {
+			times.recordRoundTrip(upstream.domain, elapsedMs - heldMs);
+		}
 	}
 
 	function createCandidate(upstream: Upstream, {team, primary, homes}: CandidateQuery): UpstreamCandidate {
@@ -205,6 +215,7 @@
 			hasIdleConnection: entry.pool.hasIdle(team) || findRelay(upstream, team, homes) !== undefined,
 			isAtConnectionLimit: entry.pool.isAtConnectionLimit(),
 			roundTripMs: readRoundTrip(upstream),
+			statementMs: times.readStatementMs(upstream.group, upstream.id),
 			isSameDomain: upstream.domain === options.domain,
 			isWarmingUp: upstream.isWarmingUp,
 			lastPosition: positions.findDatabasePosition(upstream.id),
@@ -274,12 +285,16 @@
 			entry.avoidedUntil = at + Math.min(MAX_BACKOFF_MS, BACKOFF_MS * (2 ** entry.failures));
 			options.handleFailure(database);
 		},
-		recordLatency(database, latencyMs) {
+		recordResponse(database, elapsedMs, timing) {
 			const entry = entries.get(database);
+			const upstream = findUpstream(database);
 			if (entry) {
 				entry.failures = 0;
 				entry.avoidedUntil = 0;
-				entry.meanMs += (latencyMs - entry.meanMs) * LATENCY_MEAN_WEIGHT;
+			}
+
+			if (upstream && timing) {
+				recordTiming(upstream, elapsedMs, timing);
 			}
 		},
 		readUsage() {
@@ -290,6 +305,7 @@
 		refresh() {
 			const now = clock.readNow();
 			relays.refresh(options.readHosts(), blackboard.read().contracts);
+			times.removeUnknown(id => findUpstream(id) !== undefined);
 			[...entries].forEach(([id, entry]) => {
 				entry.pool.closeIdle(now - readIdleTimeoutMs(id));
 				if (!findUpstream(id) && entry.pool.countInUse() === 0) {
--- a/packages/heatherpond-session/src/__tests__/support/test-services.ts
+++ b/packages/heatherpond-session/src/__tests__/support/test-services.ts
@@ -184,14 +184,14 @@
 				findBudget: database => test.budgets.has(database) ? async () => test.budgets.get(database)! : undefined,
 				findCandidates: (_group, {team, primary}) => DATABASES.filter(id => !test.forbidden.has(id)).map(id => ({
 					id, isPrimary: id === primary, capacity: 3, inFlight: 0, remoteInFlight: 0, hasIdleConnection: pools.get(id)!.hasIdle(team), isAtConnectionLimit: false,
-					roundTripMs: 1, isSameDomain: true, isWarmingUp: false, lastPoint: positions.findDatabasePosition(id), backoffUntil: (failedAt.get(id) ?? -1000) + 300,
+					roundTripMs: 1, statementMs: 15, isSameDomain: true, isWarmingUp: false, lastPoint: positions.findDatabasePosition(id), backoffUntil: (failedAt.get(id) ?? -1000) + 300,
 				})),
 				acquire: async (database, request) => pools.get(database)!.acquire(request),
 				registerWork: () => () => undefined,
 				recordFailure(database, _reason, at) {
 					failedAt.set(database, at);
 				},
-				recordLatency: () => undefined,
+				recordResponse: () => undefined,
 			},
 			admission: {admit: async () => test.admissionDelayMs},
 			writeEvent: () => undefined,
--- a/packages/heatherpond-session/src/__tests__/unit/client-session.test.ts
+++ b/packages/heatherpond-session/src/__tests__/unit/client-session.test.ts
@@ -79,7 +79,7 @@
 	test('is retried on another database if it is a read whose response was lost', async () => {
 		const fixture = createTestServices(createRoute('bounded_staleness'));
 		fixture.positions.recordPrimaryPosition('g', 1, {term: 1, position: 50n}, fixture.clock.readNow());
-		fixture.script = ({database}) => database === 'db-2' ? {kind: 'silent'} : undefined;
+		fixture.script = ({database}) => database === fixture.seen[0]!.database ? {kind: 'silent'} : undefined;
 		const {run} = startSession(fixture);
 		expect(await run(READ)).toMatchObject({kind: 'answer'});
 		expect(new Set(fixture.seen.map(({database}) => database)).size).toBe(2);
--- a/packages/heatherpond-session/src/__tests__/unit/decisions.test.ts
+++ b/packages/heatherpond-session/src/__tests__/unit/decisions.test.ts
@@ -14,13 +14,13 @@
 
 function createCandidate(id: string, change: Partial<UpstreamCandidate> = {}): UpstreamCandidate {
 	return {
-		id, isPrimary: false, capacity: 2, inFlight: 0, remoteInFlight: 0, hasIdleConnection: true, isAtConnectionLimit: false, roundTripMs: 1, isSameDomain: true,
+		id, isPrimary: false, capacity: 2, inFlight: 0, remoteInFlight: 0, hasIdleConnection: true, isAtConnectionLimit: false, roundTripMs: 1, statementMs: 15, isSameDomain: true,
 		isWarmingUp: false, backoffUntil: 0, lastPosition: undefined, ...change,
 	};
 }
 
 function selectId(candidates: readonly UpstreamCandidate[], required?: LogPosition): string | undefined {
-	return selectUpstream(candidates, {required, failed: new Set(), now: NOW})?.id;
+	return selectUpstream(candidates, {required, failed: new Set(), now: NOW}, () => 0)?.id;
 }
 
 describe('the order of log positions', () => {
@@ -129,7 +129,7 @@
 		const far = createCandidate('far', {isSameDomain: false, roundTripMs: 25});
 		expect(selectId([createCandidate('near'), far])).toBe('near');
 		expect(selectId([createCandidate('near', {inFlight: 12}), far])).toBe('far');
-		expect(selectUpstream([createCandidate('near'), far], {failed: new Set(['near']), now: NOW})?.id).toBe('far');
+		expect(selectUpstream([createCandidate('near'), far], {failed: new Set(['near']), now: NOW}, () => 0)?.id).toBe('far');
 		expect(selectId([createCandidate('near', {backoffUntil: NOW + 1}), far])).toBe('far');
 	});
 });
--- a/packages/heatherpond-session/src/connection-handle.ts
+++ b/packages/heatherpond-session/src/connection-handle.ts
@@ -24,10 +24,13 @@
 	readonly deadline: Deadline;
 };
 
+/** Where the time of a step went, in milliseconds: at the database, and at the relay in all if there is one. */
+export type StepTiming = {readonly ranMs: number; readonly heldMs?: number};
+
 /** Result of a step. */
 export type StepResult
 	/** The database responded to the command, with success or an error. */
-	= | {readonly kind: 'answered'; readonly answer: UpstreamResponse}
+	= | {readonly kind: 'answered'; readonly answer: UpstreamResponse; readonly timing?: StepTiming}
 	/** The database rejected the setup or the opening of the transaction; the command was not sent. */
 		| {readonly kind: 'refused'; readonly answer: UpstreamResponse}
 	/** Setup succeeded, and the step had no command. */
--- a/packages/heatherpond-session/src/index.ts
+++ b/packages/heatherpond-session/src/index.ts
@@ -4,6 +4,7 @@
 export * from './connection-setup.js';
 export type * from './connection-handle.js';
 export * from './homes.js';
+export * from './learned-times.js';
 export * from './log-order.js';
 export * from './pooled-handle.js';
 export * from './position-tracker.js';
--- a/packages/heatherpond-session/src/pooled-handle.ts
+++ b/packages/heatherpond-session/src/pooled-handle.ts
@@ -62,8 +62,9 @@
 				return {kind: 'prepared'};
 			}
 
+			const sentAt = clock.readNow();
 			const [answer] = await upstream.exchange([step.command], step.deadline);
-			return {kind: 'answered', answer: answer!} satisfies StepResult;
+			return {kind: 'answered', answer: answer!, timing: {ranMs: clock.readNow() - sentAt}} satisfies StepResult;
 		},
 		release,
 		async rollBack(deadline) {
--- a/packages/heatherpond-session/src/session-services.ts
+++ b/packages/heatherpond-session/src/session-services.ts
@@ -2,7 +2,7 @@
 import type {
 	Clock, Deadline, Instant, LogPosition,
 } from 'heatherpond-core';
-import type {ConnectionHandle, ConnectionRequest} from './connection-handle.js';
+import type {ConnectionHandle, ConnectionRequest, StepTiming} from './connection-handle.js';
 import type {Homes} from './homes.js';
 import type {PositionTracker} from './position-tracker.js';
 import type {SessionRoute} from './route.js';
@@ -64,8 +64,8 @@
 	readonly registerWork: (database: string) => () => void;
 	/** Records that a database failed or did not respond. */
 	readonly recordFailure: (database: string, reason: string, at: Instant) => void;
-	/** Records the latency of a response, which also shows that the database works. */
-	readonly recordLatency: (database: string, latencyMs: number, at: Instant) => void;
+	/** Records a response, which shows that the database works, and how long it took; `timing` tells which part of that it ran. */
+	readonly recordResponse: (database: string, elapsedMs: number, timing: StepTiming | undefined) => void;
 };
 
 /** Admission control: enforces the operation rate of each team. */
--- a/packages/heatherpond-session/src/statement-exchange.ts
+++ b/packages/heatherpond-session/src/statement-exchange.ts
@@ -1,6 +1,6 @@
 /** Sends one step to a database, and records the latency, log position, lag and failures that the exchange reveals. */
 import type {Deadline} from 'heatherpond-core';
-import type {ConnectionHandle, ConnectionStep} from './connection-handle.js';
+import type {ConnectionHandle, ConnectionStep, StepResult} from './connection-handle.js';
 import {UpstreamError} from './session-error.js';
 import type {Primary, SessionServices} from './session-services.js';
 import {isNotRun, type UpstreamResponse} from './upstream-connection.js';
@@ -44,7 +44,7 @@
 			return {kind: 'not_run', answer, reason: readErrorCode(answer)};
 		}
 
-		recordCommandResponse({services, loan, primary}, answer, requestedAt);
+		recordCommandResponse({services, loan, primary}, result, requestedAt);
 		const isRefused = answer.outcome.kind === 'error' && isNotRun(answer.outcome.code);
 		return isRefused ? {kind: 'not_run', answer, reason: readErrorCode(answer)} : {kind: 'answered', answer};
 	} catch (error) {
@@ -63,9 +63,8 @@
 	return outcome.kind === 'error' ? outcome.code : '';
 }
 
-function recordCommandResponse({services, loan, primary}: Pick<ExchangeContext, 'services' | 'loan' | 'primary'>, answer: UpstreamResponse, requestedAt: number): void {
-	const now = services.clock.readNow();
-	services.upstreams.recordLatency(loan.database, now - requestedAt, now);
+function recordCommandResponse({services, loan, primary}: Pick<ExchangeContext, 'services' | 'loan' | 'primary'>, {answer, timing}: Extract<StepResult, {kind: 'answered'}>, requestedAt: number): void {
+	services.upstreams.recordResponse(loan.database, services.clock.readNow() - requestedAt, timing);
 	if (primary && answer.point && services.primacy.isConfirmed(primary)) {
 		services.positions.recordPrimaryPosition(primary.group, primary.term, answer.point, requestedAt);
 	}
--- a/packages/heatherpond-session/src/statement-target.ts
+++ b/packages/heatherpond-session/src/statement-target.ts
@@ -88,7 +88,7 @@
 	const candidates = services.upstreams
 		.findCandidates(route.group, {team, primary: primary?.database, homes})
 		.filter(candidate => isEligibleCandidate(candidate, primary));
-	const chosen = selectUpstream(candidates, {required: requirement.point, failed, now: services.clock.readNow()});
+	const chosen = selectUpstream(candidates, {required: requirement.point, failed, now: services.clock.readNow()}, services.random);
 	if (!chosen) {
 		return primary && {database: primary.database, primary};
 	}
--- a/packages/heatherpond-session/src/upstream-selection.ts
+++ b/packages/heatherpond-session/src/upstream-selection.ts
@@ -22,6 +22,8 @@
 	/** Whether the database recently rejected a connection over its limit. */
 	readonly isAtConnectionLimit: boolean;
 	readonly roundTripMs: number;
+	/** Expected time of a statement on the database, in milliseconds. */
+	readonly statementMs: number;
 	/** Whether the database is in the failure domain of this host. */
 	readonly isSameDomain: boolean;
 	/** Whether the database started recently and is still slow. */
@@ -40,14 +42,12 @@
 	readonly now: Instant;
 };
 
-/** Assumed execution time of one statement, in milliseconds, for the estimate of queueing delay. */
-const MEAN_STATEMENT_MS = 15;
 /** Time, in milliseconds, that the database needs to open a connection, without the round trip. */
 const CONNECTION_OPEN_COST_MS = 12;
 /** Penalty, in milliseconds, for a database at its connection limit. */
 const CONNECTION_LIMIT_PENALTY_MS = 60;
-/** Penalty, in milliseconds, that reserves the primary for writes. */
-const PRIMARY_PENALTY_MS = 25;
+/** Delay, in milliseconds, that a read at the primary costs: it takes room from writes, which have nowhere else to go. */
+const PRIMARY_RESERVE_MS = 25;
 /** Penalty, in milliseconds, that limits traffic between failure domains. */
 const CROSS_DOMAIN_PENALTY_MS = 10;
 /** Factor on the execution time while a database is warming up. */
@@ -65,11 +65,11 @@
 /** Estimates the response time of a database, with penalties, in milliseconds; infinite when it is known to lag behind. */
 export function evaluateExpectedDelay(candidate: UpstreamCandidate, criteria: SelectionCriteria): number {
 	const lag = evaluateLagPenalty(candidate, criteria);
-	const statementMs = MEAN_STATEMENT_MS * (candidate.isWarmingUp ? WARM_UP_FACTOR : 1);
+	const statementMs = candidate.statementMs * (candidate.isWarmingUp ? WARM_UP_FACTOR : 1);
 	const queueLength = (candidate.inFlight + candidate.remoteInFlight) / Math.max(1, candidate.capacity);
+	const reserve = candidate.isPrimary ? PRIMARY_RESERVE_MS : 0;
 	const opening = candidate.hasIdleConnection ? 0 : CONNECTION_OPEN_COST_MS + candidate.roundTripMs + (candidate.isAtConnectionLimit ? CONNECTION_LIMIT_PENALTY_MS : 0);
-	return (queueLength * statementMs) + candidate.roundTripMs + opening + lag
-		+ (candidate.isPrimary ? PRIMARY_PENALTY_MS : 0)
+	return statementMs + (queueLength * statementMs) + candidate.roundTripMs + opening + lag + reserve
 		+ (candidate.isSameDomain ? 0 : CROSS_DOMAIN_PENALTY_MS)
 		+ (criteria.failed.has(candidate.id) ? ALREADY_FAILED_PENALTY_MS : 0)
 		+ (candidate.backoffUntil > criteria.now ? BACKOFF_PENALTY_MS : 0);
@@ -92,12 +92,19 @@
 	return age < LAG_PENALTY_WINDOW_MS ? RECENT_LAG_PENALTY_MS : UNCONFIRMED_POSITION_PENALTY_MS;
 }
 
-/** Selects the database with the lowest expected delay; undefined when every candidate is known to lag behind. */
-export function selectUpstream(candidates: readonly UpstreamCandidate[], need: SelectionCriteria): UpstreamCandidate | undefined {
-	return candidates
+/** Expected delays within this ratio of the lowest one count as equal; the reports behind them are some hundred milliseconds old. */
+const EQUAL_DELAY_RATIO = 1.1;
+
+/**
+ * Selects a database with the lowest expected delay; undefined when every candidate is known to lag behind. Among about equal
+ * ones it selects at random: all hosts have the same reports, and would otherwise all go to the same database until the next.
+ */
+export function selectUpstream(candidates: readonly UpstreamCandidate[], need: SelectionCriteria, random: () => number): UpstreamCandidate | undefined {
+	const delays = candidates
 		.map(candidate => ({candidate, delay: evaluateExpectedDelay(candidate, need)}))
 		.filter(({delay}) => delay < Number.POSITIVE_INFINITY)
-		.toSorted((left, right) => left.delay - right.delay)
-		.at(0)
-		?.candidate;
+		.toSorted((left, right) => left.delay - right.delay);
+	const lowest = delays.at(0)?.delay ?? 0;
+	const equal = delays.filter(({delay}) => delay <= lowest * EQUAL_DELAY_RATIO);
+	return equal.at(Math.floor(random() * equal.length))?.candidate;
 }
