Weigh databases by the share of their statements that fail

Cause: one backoff, cleared by the first success, so a database that fails 45 % of its statements got its full share; reads were broken off after 350 ms whatever a read takes there. Change: outcomes decay over some seconds, longer after relapses; what failures cost is part of the expected delay, so a failing database is left for others, probed by the statements that it still gets, and used when it is the last. Refusals for lack of room are no failures. Attempts of reads get 16 statement times, half of the objective at most. Not pooled over hosts.

--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -172,7 +172,7 @@
 		clock, blackboard, domain: identity.domain, readRegion, evacuationGraceMs: Math.max(0, options.evacuationMs - MAX_LEARNING_MS),
 	});
 	const upstreams = createUpstreamDirectory({
-		clock, blackboard, positions, places, domain: identity.domain, random, readRegion,
+		clock, blackboard, positions, places, domain: identity.domain, random, readRegion, writeEvent,
 		open: async (upstream, team) => options.openConnection(upstream, team, clock.readNow() + CONNECT_TIMEOUT_MS),
 		handleFailure: suspicion.applyFailure,
 		relays,
--- a/packages/heatherpond-fleet/src/upstream-directory.ts
+++ b/packages/heatherpond-fleet/src/upstream-directory.ts
@@ -1,7 +1,7 @@
 /** The databases that this host uses: their connection pools, load, latency and failures. */
 import type {Clock, Instant} from 'heatherpond-core';
 import {
-	acquireQueuedHandle, createConnectionPool, createLearnedTimes, createStatementQueue, createUpstreamError, type StepTiming, type StatementQueue, type ConnectionPool, type ConnectionHandle, type CandidateQuery, type ConnectionRequest, type Homes, type PositionTracker, type UpstreamCandidate, type UpstreamConnection, type UpstreamsPort,
+	acquireQueuedHandle, applyOutcome, createConnectionPool, createFailureRecord, readFailureShare, type FailureRecord, type StatementOutcome, type WriteEvent, createLearnedTimes, createStatementQueue, createUpstreamError, type StepTiming, type StatementQueue, type ConnectionPool, type ConnectionHandle, type CandidateQuery, type ConnectionRequest, type Homes, type PositionTracker, type UpstreamCandidate, type UpstreamConnection, type UpstreamsPort,
 } from 'heatherpond-session';
 import type {HostRecord} from './fleet-records.js';
 import type {FleetBlackboard} from './fleet-state.js';
@@ -31,6 +31,7 @@
 	/** All registered hosts, this one first. */
 	readonly readHosts: () => readonly HostRecord[];
 	readonly relays: RelayClient;
+	readonly writeEvent: WriteEvent;
 };
 
 /** Selects databases and lends connections to them. */
@@ -48,6 +49,7 @@
 type UpstreamEntry = {
 	readonly pool: ConnectionPool;
 	readonly queue: StatementQueue;
+	outcomes: FailureRecord;
 	inFlight: number;
 	avoidedUntil: Instant;
 	/** Consecutive failures. */
@@ -67,6 +69,11 @@
 const RESERVED_SHARE = 0.2;
 /** Connections that a host may open itself to a database with relays; when it can reach none of them, the reserved share. */
 const FALLBACK_CONNECTIONS = 1;
+/** Time that a statement loses at a database that does not answer, and at one that breaks the connection, in milliseconds. */
+const SILENCE_LOST_MS = 350;
+const FAILURE_LOST_MS = 50;
+/** Share of failures from which a database is reported in the log. */
+const LOGGED_FAILURE_SHARE = 0.3;
 /** Statements that all hosts together may have running on a database, as a multiple of what it runs at once, and the least for one host. */
 const RUNNING_PER_SLOT = 1.5;
 const MIN_RUNNING = 2;
@@ -97,7 +104,7 @@
 				random: options.random,
 			}),
 			queue: createStatementQueue({clock, random: options.random, readLimit: () => readStatementLimit(findUpstream(upstream.id) ?? upstream)}),
-			inFlight: 0, avoidedUntil: 0, failures: 0,
+			outcomes: createFailureRecord(clock.readNow()), inFlight: 0, avoidedUntil: 0, failures: 0,
 		};
 		entries.set(upstream.id, created);
 		return created;
@@ -195,6 +202,19 @@
 		return options.readRegion(domain) === options.readRegion(options.domain) ? REGION_ROUND_TRIP_MS : REMOTE_ROUND_TRIP_MS;
 	}
 
+	/** Records an outcome, and logs when a database begins or ends to count as one that fails in part. */
+	function recordOutcome(entry: UpstreamEntry, database: string, outcome: StatementOutcome): void {
+		const now = clock.readNow();
+		const before = readFailureShare(entry.outcomes, now);
+		entry.outcomes = applyOutcome(entry.outcomes, outcome, now);
+		const after = readFailureShare(entry.outcomes, now);
+		if ((before >= LOGGED_FAILURE_SHARE) !== (after >= LOGGED_FAILURE_SHARE)) {
+			options.writeEvent('failure_share', {
+				database, share: Math.round(after * 100) / 100, lost_ms: Math.round(entry.outcomes.lostMs), relapses: entry.outcomes.relapses,
+			});
+		}
+	}
+
 	/** Learns from a response. What a database ran for is known from the connection itself, the way to it only through a relay. */
 	function recordTiming(upstream: Upstream, elapsedMs: number, {ranMs, heldMs}: StepTiming): void {
 		const wayMs = heldMs === undefined ? readRoundTrip(upstream) : 0;
@@ -219,6 +239,8 @@
 			isSameDomain: upstream.domain === options.domain,
 			isWarmingUp: upstream.isWarmingUp,
 			lastPosition: positions.findDatabasePosition(upstream.id),
+			failureShare: readFailureShare(entry.outcomes, clock.readNow()),
+			failureMs: entry.outcomes.lostMs,
 			backoffUntil: entry.avoidedUntil,
 		};
 	}
@@ -281,14 +303,16 @@
 				entry.pool.closeIdle(at);
 			}
 
+			recordOutcome(entry, database, {hasFailed: true, elapsedMs: reason === 'silent' ? SILENCE_LOST_MS : FAILURE_LOST_MS});
 			entry.failures++;
 			entry.avoidedUntil = at + Math.min(MAX_BACKOFF_MS, BACKOFF_MS * (2 ** entry.failures));
 			options.handleFailure(database);
 		},
-		recordResponse(database, elapsedMs, timing) {
+		recordResponse(database, {elapsedMs, timing, hasFailed}) {
 			const entry = entries.get(database);
 			const upstream = findUpstream(database);
 			if (entry) {
+				recordOutcome(entry, database, {hasFailed, elapsedMs});
 				entry.failures = 0;
 				entry.avoidedUntil = 0;
 			}
--- a/packages/heatherpond-session/src/__tests__/support/test-services.ts
+++ b/packages/heatherpond-session/src/__tests__/support/test-services.ts
@@ -184,7 +184,7 @@
 				findBudget: database => test.budgets.has(database) ? async () => test.budgets.get(database)! : undefined,
 				findCandidates: (_group, {team, primary}) => DATABASES.filter(id => !test.forbidden.has(id)).map(id => ({
 					id, isPrimary: id === primary, capacity: 3, inFlight: 0, remoteInFlight: 0, hasIdleConnection: pools.get(id)!.hasIdle(team), isAtConnectionLimit: false,
-					roundTripMs: 1, statementMs: 15, isSameDomain: true, isWarmingUp: false, lastPoint: positions.findDatabasePosition(id), backoffUntil: (failedAt.get(id) ?? -1000) + 300,
+					roundTripMs: 1, statementMs: 15, failureShare: 0, failureMs: 0, isSameDomain: true, isWarmingUp: false, lastPoint: positions.findDatabasePosition(id), backoffUntil: (failedAt.get(id) ?? -1000) + 300,
 				})),
 				acquire: async (database, request) => pools.get(database)!.acquire(request),
 				registerWork: () => () => undefined,
--- a/packages/heatherpond-session/src/__tests__/unit/decisions.test.ts
+++ b/packages/heatherpond-session/src/__tests__/unit/decisions.test.ts
@@ -14,7 +14,7 @@
 
 function createCandidate(id: string, change: Partial<UpstreamCandidate> = {}): UpstreamCandidate {
 	return {
-		id, isPrimary: false, capacity: 2, inFlight: 0, remoteInFlight: 0, hasIdleConnection: true, isAtConnectionLimit: false, roundTripMs: 1, statementMs: 15, isSameDomain: true,
+		id, isPrimary: false, capacity: 2, inFlight: 0, remoteInFlight: 0, hasIdleConnection: true, isAtConnectionLimit: false, roundTripMs: 1, statementMs: 15, failureShare: 0, failureMs: 0, isSameDomain: true,
 		isWarmingUp: false, backoffUntil: 0, lastPosition: undefined, ...change,
 	};
 }
--- a/packages/heatherpond-session/src/__tests__/unit/placing.test.ts
+++ b/packages/heatherpond-session/src/__tests__/unit/placing.test.ts
@@ -7,7 +7,7 @@
 
 function createCandidate(id: string, change: Partial<UpstreamCandidate> = {}): UpstreamCandidate {
 	return {
-		id, isPrimary: false, capacity: 3, inFlight: 0, remoteInFlight: 0, hasIdleConnection: true, isAtConnectionLimit: false, roundTripMs: 1, statementMs: 15,
+		id, isPrimary: false, capacity: 3, inFlight: 0, remoteInFlight: 0, hasIdleConnection: true, isAtConnectionLimit: false, roundTripMs: 1, statementMs: 15, failureShare: 0, failureMs: 0,
 		isSameDomain: true, isWarmingUp: false, backoffUntil: 0, ...change,
 	};
 }
--- a/packages/heatherpond-session/src/session-services.ts
+++ b/packages/heatherpond-session/src/session-services.ts
@@ -3,6 +3,7 @@
 	Clock, Deadline, Instant, LogPosition,
 } from 'heatherpond-core';
 import type {ConnectionHandle, ConnectionRequest, StepTiming} from './connection-handle.js';
+import type {StatementOutcome} from './failure-share.js';
 import type {Homes} from './homes.js';
 import type {PositionTracker} from './position-tracker.js';
 import type {SessionRoute} from './route.js';
@@ -38,6 +39,9 @@
 	readonly registerWork: (primary: Primary) => () => void;
 };
 
+/** A response: how long it took, which part of that the statement ran, and whether the statement failed on the database. */
+export type RecordedResponse = StatementOutcome & {readonly timing?: StepTiming};
+
 /** Takes one statement from a budget; resolves to 0, or to the milliseconds after which there may be room for one. */
 export type RequestBudget = () => Promise<number>;
 
@@ -64,8 +68,8 @@
 	readonly registerWork: (database: string) => () => void;
 	/** Records that a database failed or did not respond. */
 	readonly recordFailure: (database: string, reason: string, at: Instant) => void;
-	/** Records a response, which shows that the database works, and how long it took; `timing` tells which part of that it ran. */
-	readonly recordResponse: (database: string, elapsedMs: number, timing: StepTiming | undefined) => void;
+	/** Records a response, which shows that the database can be reached. */
+	readonly recordResponse: (database: string, response: RecordedResponse) => void;
 };
 
 /** Admission control: enforces the operation rate of each team. */
--- a/packages/heatherpond-session/src/statement-attempts.ts
+++ b/packages/heatherpond-session/src/statement-attempts.ts
@@ -39,8 +39,11 @@
 const MAX_RETRY_DELAY_MS = 40;
 /** Retry-after hint, in milliseconds, when all attempts have failed. */
 const BUSY_RETRY_AFTER_MS = 250;
-/** Time, in milliseconds, after which an attempt of a retryable read is abandoned; also the timeout of a rollback. */
+/** Least time, in milliseconds, after which an attempt of a retryable read is abandoned; also the timeout of a rollback. */
 const ATTEMPT_TIMEOUT_MS = 350;
+/** Number of expected statement times that an attempt may take, and the fraction of the target latency that it may use up. */
+const ATTEMPT_STATEMENTS = 16;
+const ATTEMPT_OBJECTIVE_SHARE = 0.5;
 /** Maximum number of attempts of a statement. */
 const MAX_ATTEMPTS = 12;
 
@@ -205,14 +208,19 @@
 	return retryAfterMs === 0;
 }
 
-function createExchangeContext({services, running, state, needsPrimary}: AttemptContext, loan: ConnectionHandle, {primary}: StatementTarget): ExchangeContext {
+function createExchangeContext({services, running, state, needsPrimary}: AttemptContext, loan: ConnectionHandle, target: StatementTarget): ExchangeContext {
 	const isRetryable = running.access === 'read' && state.phase.kind !== 'open' && !(needsPrimary && running.failed.size > 0);
-	const attemptDeadline = isRetryable ? services.clock.readNow() + ATTEMPT_TIMEOUT_MS : Number.POSITIVE_INFINITY;
+	const attemptDeadline = isRetryable ? services.clock.readNow() + computeAttemptTimeout(running, target) : Number.POSITIVE_INFINITY;
 	return {
-		services, loan, primary, deadline: Math.min(running.deadline, attemptDeadline),
+		services, loan, primary: target.primary, deadline: Math.min(running.deadline, attemptDeadline),
 	};
 }
 
+/** A read that is abandoned may still be running, so slow statements get more time, as long as the objective leaves some for another attempt. */
+function computeAttemptTimeout({route}: RunningStatement, {statementMs = 0}: StatementTarget): number {
+	return Math.max(ATTEMPT_TIMEOUT_MS, Math.min(route.targetLatencyMs * ATTEMPT_OBJECTIVE_SHARE, statementMs * ATTEMPT_STATEMENTS));
+}
+
 /** Whether a read that failed during execution may be retried on another database. */
 function isRetryableRead({running, needsPrimary}: AttemptContext, {outcome}: UpstreamResponse): boolean {
 	return outcome.kind === 'error' && (outcome.code === 'failed' || outcome.code === 'timeout')
--- a/packages/heatherpond-session/src/statement-exchange.ts
+++ b/packages/heatherpond-session/src/statement-exchange.ts
@@ -64,7 +64,8 @@
 }
 
 function recordCommandResponse({services, loan, primary}: Pick<ExchangeContext, 'services' | 'loan' | 'primary'>, {answer, timing}: Extract<StepResult, {kind: 'answered'}>, requestedAt: number): void {
-	services.upstreams.recordResponse(loan.database, services.clock.readNow() - requestedAt, timing);
+	const hasFailed = answer.outcome.kind === 'error' && (answer.outcome.code === 'failed' || answer.outcome.code === 'timeout');
+	services.upstreams.recordResponse(loan.database, {elapsedMs: services.clock.readNow() - requestedAt, timing, hasFailed});
 	if (primary && answer.point && services.primacy.isConfirmed(primary)) {
 		services.positions.recordPrimaryPosition(primary.group, primary.term, answer.point, requestedAt);
 	}
--- a/packages/heatherpond-session/src/statement-target.ts
+++ b/packages/heatherpond-session/src/statement-target.ts
@@ -14,6 +14,8 @@
 	readonly primary?: Primary;
 	/** Log position that the database must have reached. */
 	readonly after?: LogPosition;
+	/** Expected time of a statement on the database, in milliseconds, where it was chosen by that. */
+	readonly statementMs?: number;
 };
 
 /** Requirements of a statement for its target. */
@@ -93,9 +95,10 @@
 		return primary && {database: primary.database, primary};
 	}
 
+	const {statementMs} = chosen;
 	return chosen.isPrimary
-		? {database: chosen.id, primary}
-		: {database: chosen.id, after: requirement.point};
+		? {database: chosen.id, primary, statementMs}
+		: {database: chosen.id, after: requirement.point, statementMs};
 }
 
 function findPermittedPrimary({primacy, upstreams}: SessionServices, {route, homes}: RunningStatement): Primary | undefined {
--- a/packages/heatherpond-session/src/upstream-selection.ts
+++ b/packages/heatherpond-session/src/upstream-selection.ts
@@ -29,6 +29,9 @@
 	/** Whether the database started recently and is still slow. */
 	readonly isWarmingUp: boolean;
 	readonly lastPosition?: DatabasePosition;
+	/** Share of the statements on the database that fail, and the time that a failed one loses, in milliseconds. */
+	readonly failureShare: number;
+	readonly failureMs: number;
 	/** End of the backoff after a failure; until then the database is used only if no other is available. */
 	readonly backoffUntil: Instant;
 };
@@ -58,6 +61,8 @@
 /** Penalty, in milliseconds, after a recent lag rejection, and for a replica whose last known position is older than required. */
 const RECENT_LAG_PENALTY_MS = 40;
 const UNCONFIRMED_POSITION_PENALTY_MS = 10;
+/** Share of failures above which a database is not considered worse, because a last resort has to stay comparable. */
+const MAX_FAILURE_SHARE = 0.9;
 /** Penalty, in milliseconds, for a database on which the statement has already failed, and during backoff after a failure. */
 const ALREADY_FAILED_PENALTY_MS = 200;
 const BACKOFF_PENALTY_MS = 400;
@@ -69,12 +74,19 @@
 	const queueLength = (candidate.inFlight + candidate.remoteInFlight) / Math.max(1, candidate.capacity);
 	const reserve = candidate.isPrimary ? PRIMARY_RESERVE_MS : 0;
 	const opening = candidate.hasIdleConnection ? 0 : CONNECTION_OPEN_COST_MS + candidate.roundTripMs + (candidate.isAtConnectionLimit ? CONNECTION_LIMIT_PENALTY_MS : 0);
-	return statementMs + (queueLength * statementMs) + candidate.roundTripMs + opening + lag + reserve
-		+ (candidate.isSameDomain ? 0 : CROSS_DOMAIN_PENALTY_MS)
+	const onSuccess = statementMs + (queueLength * statementMs) + candidate.roundTripMs + opening + lag + reserve
+		+ (candidate.isSameDomain ? 0 : CROSS_DOMAIN_PENALTY_MS);
+	return evaluateWithFailures(onSuccess, candidate)
 		+ (criteria.failed.has(candidate.id) ? ALREADY_FAILED_PENALTY_MS : 0)
 		+ (candidate.backoffUntil > criteria.now ? BACKOFF_PENALTY_MS : 0);
 }
 
+/** Adds what failures cost: the time that they lose, and the tries that it takes until one succeeds. */
+function evaluateWithFailures(delayMs: number, {failureShare, failureMs}: UpstreamCandidate): number {
+	const share = Math.min(MAX_FAILURE_SHARE, failureShare);
+	return (delayMs + (share * failureMs)) / (1 - share);
+}
+
 function evaluateLagPenalty({isPrimary, lastPosition}: UpstreamCandidate, {required, now}: SelectionCriteria): number {
 	if (isPrimary || !required) {
 		return 0;
