Let the relay of a busy team use the room that other relays leave

Cause: a team's statements go to one relay of a database. Change: what waits in the relay's own queue is not load elsewhere.

--- a/packages/heatherpond-fleet/src/upstream-directory.ts
+++ b/packages/heatherpond-fleet/src/upstream-directory.ts
@@ -173,7 +173,14 @@
 		const total = Math.max(1, upstream.capacity) * RUNNING_PER_SLOT;
 		const databaseRelays = findDatabaseRelays(upstream);
 		const holders = databaseRelays.length > 0 ? databaseRelays.length : options.readHosts().length;
-		return Math.max(MIN_RUNNING, Math.ceil(total / holders), total - options.readRemoteUsage(upstream.id).statements);
+		return Math.max(MIN_RUNNING, Math.ceil(total / holders), Math.floor(total - countElsewhere(upstream, databaseRelays)));
+	}
+
+	/** Counts the statements for a database at other hosts; a relay's own queue holds those that the others have sent to it. */
+	function countElsewhere({id}: Upstream, databaseRelays: readonly HostRecord[]): number {
+		const {statements} = options.readRemoteUsage(id);
+		const queue = entries.get(id)?.queue;
+		return databaseRelays.length === 0 || !queue ? statements : Math.max(0, statements - queue.countRunning() - queue.countWaiting());
 	}
 
 	/** A host that reaches none of the relays of a database is probably cut off from them, and then has the reserved connections for itself. */
