Explain where a statement would go now on a host: heatherpondctl placement

The metrics address of a host answers by the very decision that places statements, with every database and the terms of its expected delay; nothing is sent.

--- a/packages/heatherpond-ctl/src/__tests__/unit/files.test.ts
+++ b/packages/heatherpond-ctl/src/__tests__/unit/files.test.ts
@@ -17,6 +17,7 @@
 
 			return text;
 		},
+		readUrl: async () => '',
 		writeOutput(line) {
 			output.push(line);
 		},
--- a/packages/heatherpond-ctl/src/ctl-io.ts
+++ b/packages/heatherpond-ctl/src/ctl-io.ts
@@ -5,6 +5,8 @@
 export type CtlIo = {
 	readonly env: Readonly<Record<string, string | undefined>>;
 	readonly readFile: (path: string) => Promise<string>;
+	/** Reads the body of a successful HTTP response. */
+	readonly readUrl: (url: string) => Promise<string>;
 	/** Prints a line of the result. */
 	readonly writeOutput: (line: string) => void;
 	/** Prints a line of diagnostics. */
--- a/packages/heatherpond-ctl/src/ctl.ts
+++ b/packages/heatherpond-ctl/src/ctl.ts
@@ -6,6 +6,7 @@
 import {createKeyCommands} from './commands/key-commands.js';
 import {createCheckSettingsCommand} from './check-settings-command.js';
 import {createExplainCommand} from './explain-command.js';
+import {createPlacementCommand} from './placement-command.js';
 import {createTimelineCommand} from './timeline-command.js';
 import {createTopCommand} from './top-command.js';
 import {createUpstreamCommands} from './commands/upstream-commands.js';
@@ -27,6 +28,7 @@
 			timeline: createTimelineCommand(invocation),
 			top: createTopCommand(invocation),
 			explain: createExplainCommand(invocation),
+			placement: createPlacementCommand(invocation),
 			'check-settings': createCheckSettingsCommand(invocation),
 		},
 	});
--- a/packages/heatherpond-ctl/src/main.ts
+++ b/packages/heatherpond-ctl/src/main.ts
@@ -6,6 +6,18 @@
 import {createSystemClock} from 'heatherpond-core';
 import {executeCtl} from './ctl.js';
 
+/** Time within which a host must answer, in milliseconds. */
+const HTTP_TIMEOUT_MS = 5000;
+
+async function readUrl(url: string, signal: AbortSignal): Promise<string> {
+	const response = await fetch(url, {signal: AbortSignal.any([signal, AbortSignal.timeout(HTTP_TIMEOUT_MS)])});
+	if (!response.ok) {
+		throw new Error(`HTTP status ${response.status}`);
+	}
+
+	return response.text();
+}
+
 /** Random bytes of a new key. */
 const KEY_BYTES = 24;
 
@@ -26,6 +38,7 @@
 process.exitCode = await executeCtl(process.argv.slice(2), {
 	env: process.env,
 	readFile: async path => readFile(path, 'utf8'),
+	readUrl: async url => readUrl(url, stop.signal),
 	writeOutput(line) {
 		process.stdout.write(`${line}\n`);
 	},
--- a/packages/heatherpond-fleet/src/upstream-directory.ts
+++ b/packages/heatherpond-fleet/src/upstream-directory.ts
@@ -75,7 +75,7 @@
 /** Share of failures from which a database is reported in the log. */
 const LOGGED_FAILURE_SHARE = 0.3;
 /** Statements that all hosts together may have running on a database, as a multiple of what it runs at once, and the least for one host. */
-const RUNNING_PER_SLOT = 1.5;
+const RUNNING_PER_SLOT = 3;
 const MIN_RUNNING = 2;
 /** Round-trip times to a database in the same failure domain, in the same region and elsewhere, in milliseconds, assumed until they have been measured. */
 const DOMAIN_ROUND_TRIP_MS = 1;
@@ -166,7 +166,7 @@
 	}
 
 	/**
-	 * Reads how many statements this host may have running on a database: an equal part of somewhat more than the database runs at once,
+	 * Reads how many statements this host may have running on a database: an equal part of some times what the database runs at once,
 	 * so that it is never idle while statements wait, or more while others leave their parts unused.
 	 */
 	function readStatementLimit(upstream: Upstream): number {
--- a/packages/heatherpond-local/src/__tests__/unit/operators-tls.test.ts
+++ b/packages/heatherpond-local/src/__tests__/unit/operators-tls.test.ts
@@ -72,6 +72,7 @@
 	const exitCode = await executeCtl(['status', '--settings', 'ctl.toml', '--timeout', '1'], {
 		env: {},
 		readFile: async name => name === 'ctl.toml' ? settings : readFile(name, 'utf8'),
+		readUrl: async () => '',
 		writeOutput: write,
 		writeError: write,
 		clock,
--- a/packages/heatherpond-local/src/__tests__/unit/operators.test.ts
+++ b/packages/heatherpond-local/src/__tests__/unit/operators.test.ts
@@ -38,6 +38,7 @@
 
 			return files[path];
 		},
+		readUrl: async () => '',
 		writeOutput(line) {
 			output.push(line);
 		},
--- a/packages/heatherpond-local/src/__tests__/unit/timeline.test.ts
+++ b/packages/heatherpond-local/src/__tests__/unit/timeline.test.ts
@@ -36,6 +36,7 @@
 	const exitCode = await executeCtl(args, {
 		env: {HEATHERPOND_HOSTS: deployment.hosts.map(host => host.identity.peerAddress).join(',')},
 		readFile: async path => files[path]!,
+		readUrl: async () => '',
 		writeOutput(line) {
 			output.push(line);
 		},
--- a/packages/heatherpond-measure/src/measure-withdraw.ts
+++ b/packages/heatherpond-measure/src/measure-withdraw.ts
@@ -137,6 +137,7 @@
 		async readFile() {
 			throw new MeasureError('unexpected file access: the commands of this measurement read no files');
 		},
+		readUrl: async () => '',
 		writeOutput(line) {
 			output.push(line);
 		},
--- a/packages/heatherpond-session/src/index.ts
+++ b/packages/heatherpond-session/src/index.ts
@@ -3,6 +3,7 @@
 export * from './connection-pool.js';
 export * from './connection-setup.js';
 export type * from './connection-handle.js';
+export * from './placement-explanation.js';
 export * from './failure-share.js';
 export * from './homes.js';
 export * from './learned-times.js';
--- a/packages/heatherpond-session/src/statement-target.ts
+++ b/packages/heatherpond-session/src/statement-target.ts
@@ -4,8 +4,8 @@
 import {createRefusal} from './refusal.js';
 import type {RunningStatement} from './running-statement.js';
 import {createRefusedError} from './session-error.js';
-import type {Primary, SessionServices} from './session-services.js';
-import {selectUpstream, type UpstreamCandidate} from './upstream-selection.js';
+import type {Primary, RequiredPosition, SessionServices} from './session-services.js';
+import {selectUpstream, type SelectionCriteria, type UpstreamCandidate} from './upstream-selection.js';
 
 /** The database selected for a statement. */
 export type StatementTarget = {
@@ -28,6 +28,16 @@
 	readonly signal: AbortSignal;
 };
 
+/** Where a statement would go, and by what that was decided. */
+export type TargetDecision = {
+	readonly target?: StatementTarget;
+	/** Log position that a replica needs; `unknown` sends the statement to the primary. */
+	readonly requirement: RequiredPosition;
+	/** The databases that were compared; none when only the primary may run the statement. */
+	readonly candidates: readonly UpstreamCandidate[];
+	readonly criteria?: SelectionCriteria;
+};
+
 /** Maximum wait for a primary, as a fraction of the target latency of the operation. */
 const PRIMARY_WAIT_FRACTION = 0.25;
 /** Retry-after hint, in milliseconds, when the group has no confirmed primary. */
@@ -75,7 +85,12 @@
 }
 
 /** Finds a database that can run the statement now. */
-export function findTarget(services: SessionServices, {running, needsPrimary, lastCommitPosition}: TargetQuery): StatementTarget | undefined {
+export function findTarget(services: SessionServices, query: TargetQuery): StatementTarget | undefined {
+	return decideTarget(services, query).target;
+}
+
+/** Decides where a statement would go now, and by what. */
+export function decideTarget(services: SessionServices, {running, needsPrimary, lastCommitPosition}: Omit<TargetQuery, 'signal'>): TargetDecision {
 	const {route, team, homes, arrivedAt, failed} = running;
 	const primary = findPermittedPrimary(services, running);
 	const requirement = needsPrimary
@@ -84,21 +99,25 @@
 			route, positions: services.positions, term: services.primacy.readTerm(route.group), arrivedAt, lastCommitPosition,
 		});
 	if (requirement.kind === 'unknown') {
-		return primary && {database: primary.database, primary};
+		return {requirement, candidates: [], target: primary && {database: primary.database, primary}};
 	}
 
 	const candidates = services.upstreams
 		.findCandidates(route.group, {team, primary: primary?.database, homes})
 		.filter(candidate => isEligibleCandidate(candidate, primary));
-	const chosen = selectUpstream(candidates, {required: requirement.point, failed, now: services.clock.readNow()}, services.random);
+	const criteria = {required: requirement.point, failed, now: services.clock.readNow()};
+	const chosen = selectUpstream(candidates, criteria, services.random);
 	if (!chosen) {
-		return primary && {database: primary.database, primary};
+		return {
+			requirement, candidates, criteria, target: primary && {database: primary.database, primary},
+		};
 	}
 
 	const {statementMs} = chosen;
-	return chosen.isPrimary
-		? {database: chosen.id, primary, statementMs}
-		: {database: chosen.id, after: requirement.point, statementMs};
+	const target = chosen.isPrimary ? {database: chosen.id, primary, statementMs} : {database: chosen.id, after: requirement.point, statementMs};
+	return {
+		requirement, candidates, criteria, target,
+	};
 }
 
 function findPermittedPrimary({primacy, upstreams}: SessionServices, {route, homes}: RunningStatement): Primary | undefined {
--- a/packages/heatherpond-session/src/upstream-selection.ts
+++ b/packages/heatherpond-session/src/upstream-selection.ts
@@ -67,24 +67,52 @@
 const ALREADY_FAILED_PENALTY_MS = 200;
 const BACKOFF_PENALTY_MS = 400;
 
-/** Estimates the response time of a database, with penalties, in milliseconds; infinite when it is known to lag behind. */
-export function evaluateExpectedDelay(candidate: UpstreamCandidate, criteria: SelectionCriteria): number {
-	const lag = evaluateLagPenalty(candidate, criteria);
+/** What the expected response time of a database consists of, in milliseconds. */
+export type DelayTerms = {
+	readonly statementMs: number;
+	/** Statements ahead of this one. */
+	readonly queueMs: number;
+	readonly roundTripMs: number;
+	readonly openingMs: number;
+	/** Infinite when the database is known to lag behind. */
+	readonly lagMs: number;
+	/** Room that the primary reserves for writes. */
+	readonly reserveMs: number;
+	/** What leaving the failure domain costs beside the time that it takes. */
+	readonly crossingMs: number;
+	/** What failures cost: the time that they lose, and the tries that it takes until one succeeds. */
+	readonly failuresMs: number;
+	/** Penalties after this statement has failed there, and during a backoff. */
+	readonly penaltyMs: number;
+};
+
+/** Evaluates the terms of a database's expected response time. */
+export function evaluateDelayTerms(candidate: UpstreamCandidate, criteria: SelectionCriteria): DelayTerms {
 	const statementMs = candidate.statementMs * (candidate.isWarmingUp ? WARM_UP_FACTOR : 1);
-	const queueLength = (candidate.inFlight + candidate.remoteInFlight) / Math.max(1, candidate.capacity);
-	const reserve = candidate.isPrimary ? PRIMARY_RESERVE_MS : 0;
-	const opening = candidate.hasIdleConnection ? 0 : CONNECTION_OPEN_COST_MS + candidate.roundTripMs + (candidate.isAtConnectionLimit ? CONNECTION_LIMIT_PENALTY_MS : 0);
-	const onSuccess = statementMs + (queueLength * statementMs) + candidate.roundTripMs + opening + lag + reserve
-		+ (candidate.isSameDomain ? 0 : CROSS_DOMAIN_PENALTY_MS);
-	return evaluateWithFailures(onSuccess, candidate)
-		+ (criteria.failed.has(candidate.id) ? ALREADY_FAILED_PENALTY_MS : 0)
-		+ (candidate.backoffUntil > criteria.now ? BACKOFF_PENALTY_MS : 0);
+	const onSuccess = {
+		statementMs,
+		queueMs: statementMs * (candidate.inFlight + candidate.remoteInFlight) / Math.max(1, candidate.capacity),
+		roundTripMs: candidate.roundTripMs,
+		openingMs: candidate.hasIdleConnection ? 0 : CONNECTION_OPEN_COST_MS + candidate.roundTripMs + (candidate.isAtConnectionLimit ? CONNECTION_LIMIT_PENALTY_MS : 0),
+		lagMs: evaluateLagPenalty(candidate, criteria),
+		reserveMs: candidate.isPrimary ? PRIMARY_RESERVE_MS : 0,
+		crossingMs: candidate.isSameDomain ? 0 : CROSS_DOMAIN_PENALTY_MS,
+	};
+	const share = Math.min(MAX_FAILURE_SHARE, candidate.failureShare);
+	return {
+		...onSuccess,
+		failuresMs: share * (computeTotal(onSuccess) + candidate.failureMs) / (1 - share),
+		penaltyMs: (criteria.failed.has(candidate.id) ? ALREADY_FAILED_PENALTY_MS : 0) + (candidate.backoffUntil > criteria.now ? BACKOFF_PENALTY_MS : 0),
+	};
+}
+
+function computeTotal(terms: Readonly<Record<string, number>>): number {
+	return Object.values(terms).reduce((sum, term) => sum + term, 0);
 }
 
-/** Adds what failures cost: the time that they lose, and the tries that it takes until one succeeds. */
-function evaluateWithFailures(delayMs: number, {failureShare, failureMs}: UpstreamCandidate): number {
-	const share = Math.min(MAX_FAILURE_SHARE, failureShare);
-	return (delayMs + (share * failureMs)) / (1 - share);
+/** Evaluates the expected response time of a database, in milliseconds; infinite when it is known to lag behind. */
+export function evaluateExpectedDelay(candidate: UpstreamCandidate, criteria: SelectionCriteria): number {
+	return computeTotal(evaluateDelayTerms(candidate, criteria));
 }
 
 function evaluateLagPenalty({isPrimary, lastPosition}: UpstreamCandidate, {required, now}: SelectionCriteria): number {
