--- a/packages/heatherpond-fleet/src/index.ts
+++ b/packages/heatherpond-fleet/src/index.ts
@@ -6,6 +6,7 @@
 export * from './confirm-promotions.js';
 export * from './contracts.js';
 export type * from './database-control-port.js';
+export * from './database-shares.js';
 export * from './datagram-batches.js';
 export * from './datagram-parts.js';
 export * from './domain-leader.js';
