--- a/packages/heatherpond-fleet/src/usage-exchange.ts
+++ b/packages/heatherpond-fleet/src/usage-exchange.ts
@@ -15,11 +15,12 @@
 import {registerClockListener} from './fleet-state.js';
 import type {HostContact, RegisteredIncarnation} from './host-message.js';
 import {GATHERING_MS, type HostMessages} from './host-messages.js';
+import {createOwnReports, type HostUsage} from './own-reports.js';
 import {findNextPoll, PEER_POLL_INTERVAL_MS} from './poll-schedule.js';
 import {createRemoteDomains} from './remote-domains.js';
 import {countTeamDemand, createDatabaseUsageCache, computeTotalUsage} from './remote-usage.js';
 import type {TeamUsage} from './team-limits.js';
-import {applyReportedPositions, createReportedPositions, createReportEchoes} from './shared-positions.js';
+import {applyReportedPositions} from './shared-positions.js';
 import type {DomainDigest, DomainUsage, UsageReport} from './usage-report.js';
 
 /** Time between two reports of a failure domain to the others, in milliseconds. */
@@ -34,15 +35,6 @@
 const CONTACT_EXPIRY_MS = 1600;
 /** Time after the start of a host for which every domain counts that has not reported, even if none of its hosts is known, in milliseconds. */
 const DOMAIN_START_MS = 5000;
-/**
- * Number of own reports whose send times are kept. A domain leader registers this host on the basis of one of its reports, and
- * others tell which one they received last; a leader sends one to each host of its domain in every poll interval.
- */
-const MAX_REMEMBERED_REPORTS = 256;
-
-/** The fields of a usage report that a host fills in from its own state. */
-export type HostUsage = Pick<UsageReport, 'isVerified' | 'teams' | 'databases'>;
-
 /** Usage of the other hosts, as received in their reports. */
 export type UsageExchange = {
 	/** Handles the report of another host; reports that are older than the last one of the same incarnation are ignored. */
@@ -105,30 +97,13 @@
 	});
 	const startedAt = clock.readNow();
 	const remoteDomains = createRemoteDomains(clock);
-	let sequence = 0;
-	let lastOwnUsage: HostUsage = {isVerified: false, teams: {}, databases: {}};
-	/** Send times of the last reports, by sequence number. */
-	const sentAt = new Map<number, Instant>();
+	const ownReports = createOwnReports({
+		clock, identity, positions, readHostUsage, readReceivedReports: () => [...peers.readReports(), ...remoteDomains.readReceived()],
+	});
+	const {findSentAt} = ownReports;
 	let lastDigestReplyAt: Instant = Number.NEGATIVE_INFINITY;
 	let stopDigestTimer = (): void => undefined;
 
-	function createReport(hasLeft = false): UsageReport {
-		const now = clock.readNow();
-		sequence++;
-		sentAt.set(sequence, now);
-		sentAt.delete(sequence - MAX_REMEMBERED_REPORTS);
-		lastOwnUsage = readHostUsage();
-		const {host, incarnation, domain, address, port} = identity;
-		return {
-			host, incarnation, domain, address, port, sequence, isOfDomain: false, hasLeft, runningMs: Math.round(now - startedAt), ...lastOwnUsage,
-			positions: createReportedPositions(positions, now), echoes: createReportEchoes([...peers.readReports(), ...remoteDomains.readReceived()], now),
-		};
-	}
-
-	function findSentAt({incarnation, sequence: sent}: RegisteredIncarnation): Instant | undefined {
-		return incarnation === identity.incarnation ? sentAt.get(sent) : undefined;
-	}
-
 	function createDigest(own: UsageReport): DomainDigest {
 		return {own, usage: computeTotalUsage([own, ...peers.readReports().map(({report}) => report)]), members: [...peers.readMembers()]};
 	}
@@ -147,11 +122,11 @@
 	}
 
 	function createOwnDigest(): DomainDigest {
-		return createDigest(createReport());
+		return createDigest(ownReports.createReport());
 	}
 
 	function sendOwnReport(sendBy?: Deadline): void {
-		const report = createReport();
+		const report = ownReports.createReport();
 		recordReported();
 		const leader = peers.findLeader();
 		messages.sendUsage(report, leader && readTrustedDigest() ? [leader] : peers.readContacts(), sendBy);
@@ -178,7 +153,7 @@
 
 	function sendDomainReport(): void {
 		if (isLeader()) {
-			const report = createReport();
+			const report = ownReports.createReport();
 			recordReported();
 			messages.sendUsage({...report, ...createDigest(report).usage, isOfDomain: true}, remoteDomains.findReceivers(readRemoteHosts()));
 		}
@@ -226,7 +201,7 @@
 		if (isLeader()) {
 			messages.sendDigest(createOwnDigest, [newHost]);
 		} else if (!readTrustedDigest()) {
-			messages.sendUsage(createReport(), [newHost]);
+			messages.sendUsage(ownReports.createReport(), [newHost]);
 		}
 	}
 
@@ -249,7 +224,7 @@
 			stopDigestTimer = clock.registerTimer(clock.readNow() + DIGEST_EXPIRY_MS, sendReport);
 			if (!digest.members.some(({incarnation}) => incarnation === identity.incarnation)) {
 				// The leader knows this host from the store only, and registers it once it has a report.
-				messages.sendUsage(createReport(), [digest.own]);
+				messages.sendUsage(ownReports.createReport(), [digest.own]);
 			}
 		} else if (isLeader() && (isNew || clock.readNow() >= lastDigestReplyAt + MIN_DIGEST_REPLY_INTERVAL_MS)) {
 			// Two hosts consider themselves the leader; the other one learns from the digest that it is not.
@@ -265,7 +240,7 @@
 	/** Reads the usage of the other hosts of the domain. */
 	function readPeerUsage(): DomainUsage {
 		const digest = readTrustedDigest();
-		return digest ? computeOthersUsage(digest.usage, lastOwnUsage) : computeTotalUsage(peers.readReports().map(({report}) => report));
+		return digest ? computeOthersUsage(digest.usage, ownReports.readLastUsage()) : computeTotalUsage(peers.readReports().map(({report}) => report));
 	}
 
 	const databaseUsage = createDatabaseUsageCache(clock, () => [readPeerUsage(), ...remoteDomains.readRecent()]);
@@ -283,7 +258,7 @@
 				demandPerSecond: countTeamDemand(known, team), heard: known.length, unheard: unreportedDomains.size, coveredFraction: liveDomainHosts / Math.max(liveDomainHosts, peerCount + 1),
 			},
 			domainPeersPerSecond: digest
-				? Math.max(0, countTeamDemand([digest.usage], team) - countTeamDemand([lastOwnUsage], team))
+				? Math.max(0, countTeamDemand([digest.usage], team) - countTeamDemand([ownReports.readLastUsage()], team))
 				: countTeamDemand(peers.readReports().map(({report}) => report), team),
 			liveDomainHosts,
 		};
@@ -303,7 +278,7 @@
 	const stopListening = services.blackboard.registerListener(({registeredAt}) => registeredAt, sendReportsAtOnce);
 	const stopListeningToPeers = services.blackboard.registerListener(({arePeersKnown}) => arePeersKnown, sendReportsAtOnce);
 	const stopListeningToSuspensions = registerClockListener(services.blackboard, () => {
-		sentAt.clear();
+		ownReports.clear();
 		positions.clear();
 	});
 	signal.addEventListener('abort', () => {
@@ -332,7 +307,7 @@
 			.toSorted((left, right) => left.domain < right.domain ? -1 : 1),
 		readTeam,
 		sendDeparture() {
-			messages.sendUsage(createReport(true), peers.readContacts());
+			messages.sendUsage(ownReports.createReport(true), peers.readContacts());
 		},
 		findDomainLeader: peers.findLeader,
 		readReceivedReports: peers.readReports,
