--- a/packages/heatherpond-session/src/statement-attempts.ts
+++ b/packages/heatherpond-session/src/statement-attempts.ts
@@ -2,9 +2,12 @@
  * Runs a statement with retries, on other databases where possible. A statement that was not run is retried. A read is
  * retried even if its response was lost; a write that may have been committed is never sent again.
  */
-import {waitUntil, type Deadline} from 'heatherpond-core';
+import type {Deadline} from 'heatherpond-core';
+import {
+	ATTEMPT_TIMEOUT_MS, checkRetryAllowed, computeAttemptTimeout, isRetryableRead, MAX_RETRY_DELAY_MS, waitBeforeRetry,
+} from './attempt-rules.js';
 import type {ConnectionHandle} from './connection-handle.js';
-import {createRefusal, type Refusal} from './refusal.js';
+import {createRefusal} from './refusal.js';
 import {createStatementCommand, type RunningStatement} from './running-statement.js';
 import {createRefusedError, UpstreamError} from './session-error.js';
 import type {SessionServices} from './session-services.js';
@@ -12,6 +15,7 @@
 import {
 	exchangeCommand, type ExchangeResult, type ExchangeContext, type ExchangeStep,
 } from './statement-exchange.js';
+import {hasBudget, waitForBudget} from './statement-budget.js';
 import {isTargetCurrent, waitForTarget, type StatementTarget} from './statement-target.js';
 import type {UpstreamResponse} from './upstream-connection.js';
 
@@ -34,19 +38,6 @@
 	readonly endWork: () => void;
 };
 
-/** Bounds of the randomized exponential backoff between attempts, in milliseconds. */
-const MIN_RETRY_DELAY_MS = 4;
-const MAX_RETRY_DELAY_MS = 40;
-/** Retry-after hint, in milliseconds, when all attempts have failed. */
-const BUSY_RETRY_AFTER_MS = 250;
-/** Least time, in milliseconds, after which an attempt of a retryable read is abandoned; also the timeout of a rollback. */
-const ATTEMPT_TIMEOUT_MS = 350;
-/** Number of expected statement times that an attempt may take, and the fraction of the target latency that it may use up. */
-const ATTEMPT_STATEMENTS = 16;
-const ATTEMPT_OBJECTIVE_SHARE = 0.5;
-/** Maximum number of attempts of a statement. */
-const MAX_ATTEMPTS = 12;
-
 /**
  * Runs a statement outside a transaction. Its connection has been released when the promise resolves.
  *
@@ -129,21 +120,6 @@
 	}
 }
 
-/** Waits until the budget of a database has room for the next statement of an open transaction, at most until the deadline of the statement; resolves to whether there is room. */
-async function waitForBudget({services, running, signal}: StatementContext, database: string): Promise<boolean> {
-	const {clock, upstreams} = services;
-	while (!signal.aborted && clock.readNow() < running.deadline) {
-		const retryAfterMs = await upstreams.findBudget(database)?.() ?? 0;
-		if (retryAfterMs === 0) {
-			return true;
-		}
-
-		await waitUntil(clock, Math.min(running.deadline, clock.readNow() + retryAfterMs), signal);
-	}
-
-	return false;
-}
-
 /** Rolls back a transaction in the background and then returns its connection to the pool. */
 export function releaseTransaction(services: SessionServices, loan: ConnectionHandle): void {
 	const deadline: Deadline = services.clock.readNow() + ATTEMPT_TIMEOUT_MS;
@@ -173,7 +149,7 @@
 		const target = await waitForTarget(services, {
 			running, needsPrimary: context.needsPrimary, lastCommitPosition: context.state.lastCommitPosition, signal,
 		});
-		if (!await hasBudget(context, target)) {
+		if (!await hasBudget(context, target.database)) {
 			await waitBeforeRetry(services, running, signal);
 			continue;
 		}
@@ -197,17 +173,6 @@
 	}
 }
 
-/** Takes the statement from the budget of its database, if that has one; without room, another database is tried. */
-async function hasBudget({services, running}: AttemptContext, {database}: StatementTarget): Promise<boolean> {
-	const retryAfterMs = await services.upstreams.findBudget(database)?.() ?? 0;
-	if (retryAfterMs > 0) {
-		running.failed.add(database);
-		running.lastFailureReason = 'cold';
-	}
-
-	return retryAfterMs === 0;
-}
-
 function createExchangeContext({services, running, state, needsPrimary}: AttemptContext, loan: ConnectionHandle, target: StatementTarget): ExchangeContext {
 	const isRetryable = running.access === 'read' && state.phase.kind !== 'open' && !(needsPrimary && running.failed.size > 0);
 	const attemptDeadline = isRetryable ? services.clock.readNow() + computeAttemptTimeout(running, target) : Number.POSITIVE_INFINITY;
@@ -216,17 +181,6 @@
 	};
 }
 
-/** A read that is abandoned may still be running, so slow statements get more time, as long as the objective leaves some for another attempt. */
-function computeAttemptTimeout({route}: RunningStatement, {statementMs = 0}: StatementTarget): number {
-	return Math.max(ATTEMPT_TIMEOUT_MS, Math.min(route.targetLatencyMs * ATTEMPT_OBJECTIVE_SHARE, statementMs * ATTEMPT_STATEMENTS));
-}
-
-/** Whether a read that failed during execution may be retried on another database. */
-function isRetryableRead({running, needsPrimary}: AttemptContext, {outcome}: UpstreamResponse): boolean {
-	return outcome.kind === 'error' && (outcome.code === 'failed' || outcome.code === 'timeout')
-		&& running.access === 'read' && running.attempts < 3 && !needsPrimary;
-}
-
 async function acquireLoan(context: AttemptContext, {database}: StatementTarget): Promise<ConnectionHandle | undefined> {
 	const {services, running, state, signal} = context;
 	const endWork = services.upstreams.registerWork(database);
@@ -286,24 +240,3 @@
 
 	checkAlternatives(context, reason, result.kind === 'lost' ? result.retryAfterMs ?? 0 : 0);
 }
-
-function checkRetryAllowed({services, running, signal}: AttemptContext): void {
-	if (signal.aborted || running.attempts >= MAX_ATTEMPTS || services.clock.readNow() >= running.deadline) {
-		throw createRefusedError(createNotRunRefusal(running));
-	}
-}
-
-/** Creates the refusal of a statement that had no effect: it was not run, or it was a read whose results are discarded. */
-function createNotRunRefusal({lastFailureReason}: RunningStatement): Refusal {
-	return createRefusal('busy', `no database responded in time; last failure: ${lastFailureReason || 'busy'}`, BUSY_RETRY_AFTER_MS);
-}
-
-async function waitBeforeRetry(services: SessionServices, {deadline, attempts, lastFailureReason}: RunningStatement, signal: AbortSignal): Promise<void> {
-	if (lastFailureReason === 'lagging') {
-		return;
-	}
-
-	const maxDelay = Math.min(MAX_RETRY_DELAY_MS, MIN_RETRY_DELAY_MS * (2 ** attempts));
-	const delay = MIN_RETRY_DELAY_MS + (services.random() * (maxDelay - MIN_RETRY_DELAY_MS));
-	await waitUntil(services.clock, Math.min(deadline, services.clock.readNow() + delay), signal);
-}
--- a/packages/heatherpond-session/src/statement-target.ts
+++ b/packages/heatherpond-session/src/statement-target.ts
@@ -1,5 +1,6 @@
 /** Selects the database that runs a statement, and waits for one if none is available. */
 import type {Deadline, LogPosition} from 'heatherpond-core';
+import {computeSpreadRetry} from './attempt-rules.js';
 import {decideReadRequirement} from './read-requirement.js';
 import {createRefusal} from './refusal.js';
 import type {RunningStatement} from './running-statement.js';
@@ -40,7 +41,7 @@
 
 /** Maximum wait for a primary, as a fraction of the target latency of the operation. */
 const PRIMARY_WAIT_FRACTION = 0.25;
-/** Retry-after hint, in milliseconds, when the group has no confirmed primary. */
+/** Mean retry-after hint, in milliseconds, when the group has no confirmed primary. */
 const NO_PRIMARY_RETRY_AFTER_MS = 300;
 /** Retry-after hint, in milliseconds, when no permitted database may run the statement, which a planned switchover may change. */
 const NO_PLACE_RETRY_AFTER_MS = 1000;
@@ -61,7 +62,7 @@
 
 		checkPlaces(services, query);
 		if (signal.aborted || services.clock.readNow() >= waitDeadline) {
-			throw createRefusedError(createRefusal('busy', running.lastFailureReason || 'the group has no proven primary', NO_PRIMARY_RETRY_AFTER_MS));
+			throw createRefusedError(createRefusal('busy', running.lastFailureReason || 'the group has no proven primary', computeSpreadRetry(NO_PRIMARY_RETRY_AFTER_MS, services.random)));
 		}
 
 		await services.primacy.waitForChange(waitDeadline, signal);
