--- a/packages/heatherpond-session/src/queue-decisions.ts
+++ b/packages/heatherpond-session/src/queue-decisions.ts
@@ -70,14 +70,17 @@
 
 /** Selects the statement that is run next, as the start with this number; nothing when none waits. */
 export function selectNextQueued<Statement extends QueuedStatement>(waiting: readonly Statement[], now: Instant, load: DatabaseLoad, startNumber: number): Statement | undefined {
-	const ordered = waiting.toSorted((left, right) => compareQueued(left, right, now, load));
-	const first = ordered.at(0);
+	const first = findFirst(waiting, now, load);
 	if (!first || first.isContinuation || startNumber % STARTS_PER_LEAST_URGENT > 0) {
 		return first;
 	}
 
-	const leastUrgent = Math.max(...waiting.map(({priority}) => priority));
-	return ordered.find(({priority}) => priority === leastUrgent);
+	const leastUrgent = waiting.reduce((most, {priority}) => Math.max(most, priority), first.priority);
+	return findFirst(waiting.filter(({priority}) => priority === leastUrgent), now, load);
+}
+
+function findFirst<Statement extends QueuedStatement>(waiting: readonly Statement[], now: Instant, load: DatabaseLoad): Statement | undefined {
+	return waiting.reduce<Statement | undefined>((first, next) => first && compareQueued(first, next, now, load) <= 0 ? first : next, undefined);
 }
 
 /**
@@ -94,7 +97,7 @@
 
 /** Finds the statement that would be run last. */
 export function findLastQueued<Statement extends QueuedStatement>(waiting: readonly Statement[], now: Instant, load: DatabaseLoad): Statement | undefined {
-	return waiting.toSorted((left, right) => compareQueued(left, right, now, load)).at(-1);
+	return waiting.reduce<Statement | undefined>((last, next) => last && compareQueued(last, next, now, load) > 0 ? last : next, undefined);
 }
 
 /** Finds the waiting statements whose callers will have given up before they could have been run. */
