--- a/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
+++ b/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
@@ -31,6 +31,8 @@
 	isIsolated: boolean;
 	/** Returns whether a datagram to this host is lost. */
 	dropsDatagram: (text: string) => boolean;
+	/** Whether the host has been suspended for a time that its clock has not measured, and has not noticed yet. */
+	wasSuspended: boolean;
 };
 
 /** A promotion request that reached the platform. */
@@ -154,13 +156,21 @@
 		incarnations++;
 		const lifetime = new AbortController();
 		setMaxListeners(0, lifetime.signal);
-		const testHost: Pick<TestHost, 'isKilled' | 'isIsolated' | 'dropsDatagram'> = {isKilled: false, isIsolated: false, dropsDatagram: () => false};
+		const testHost: Pick<TestHost, 'isKilled' | 'isIsolated' | 'dropsDatagram' | 'wasSuspended'> = {
+			isKilled: false, isIsolated: false, dropsDatagram: () => false, wasSuspended: false,
+		};
 		const host = startFleetHost({
 			identity: {
 				host: name, incarnation: `run-${incarnations}`, domain, address: name, port: 1,
 			},
 			clock,
-			suspension: {hasDrifted: () => false},
+			suspension: {
+				hasDrifted() {
+					const {wasSuspended} = testHost;
+					testHost.wasSuspended = false;
+					return wasSuspended;
+				},
+			},
 			store: store.createPort(name),
 			databases: control,
 			promotionRequests: {
--- a/packages/heatherpond-fleet/src/__tests__/unit/shared-positions.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/shared-positions.test.ts
@@ -40,6 +40,21 @@
 	});
 });
 
+describe('a host that was suspended for a time that its clock has not measured', () => {
+	test('forgets positions, which are older than they seem', async () => {
+		const fleet = createTestFleet(['host-1', 'host-2']);
+		await advance(fleet.clock, 3000);
+		const [suspended] = fleet.hosts;
+		const {access, positions} = suspended!.host.sessions;
+		positions.recordPrimaryPosition(GROUP, 1, {term: 1, position: 7n}, fleet.clock.readNow());
+		expect(positions.readNewest()).toHaveLength(1);
+		suspended!.wasSuspended = true;
+		access.decideAccess('shop', 'key');
+		expect(positions.readNewest()).toEqual([]);
+		fleet.stop();
+	});
+});
+
 describe('a domain of many hosts', () => {
 	/** The load: one host hears from the primary every 100 ms, the others have no statement for it. */
 	test('lets every host read from replicas by the position that one of them has seen', async () => {
