--- a/packages/heatherpond-fleet/src/fleet-followers.ts
+++ b/packages/heatherpond-fleet/src/fleet-followers.ts
@@ -1,5 +1,5 @@
 /** Follows the contract, registration and fleet tables of the store, and applies their updates to the fleet state. */
-import type {Instant} from 'heatherpond-core';
+import type {Instant, Teardown} from 'heatherpond-core';
 import {applyFleetUpdate} from './apply-fleet-update.js';
 import {applyUpstreamUpdate, EMPTY_UPSTREAM_VIEW, removeExpiredUpstreams} from './apply-upstream-update.js';
 import {applyEvacuations, applyEvacuationUpdate, isSameEvacuations} from './evacuations.js';
@@ -62,14 +62,14 @@
 			host.blackboard.update(state => applyFleetUpdate(state, update));
 		},
 	});
-	registerPromotionEndListener(host.blackboard, fleet.refresh);
+	host.signal.addEventListener('abort', registerPromotionEndListener(host.blackboard, fleet.refresh), {once: true});
 	return fleet;
 }
 
 /** Calls the listener when a promotion has ended: the lease of the new primary starts with the next response of the store. */
-function registerPromotionEndListener(blackboard: FleetBlackboard, listener: () => void): void {
+function registerPromotionEndListener(blackboard: FleetBlackboard, listener: () => void): Teardown {
 	let before = 0;
-	blackboard.registerListener(countPromotions, count => {
+	return blackboard.registerListener(countPromotions, count => {
 		if (count < before) {
 			listener();
 		}
