--- a/packages/heatherpond-fleet/src/host-messages.ts
+++ b/packages/heatherpond-fleet/src/host-messages.ts
@@ -61,8 +61,8 @@
 	readonly sendUsage: (report: UsageReport, receivers: readonly HostContact[], sendBy?: Deadline) => void;
 	/** Relays the report of another domain to hosts of the own domain. */
 	readonly sendRelayed: (report: UsageReport, receivers: readonly HostContact[], sendBy: Deadline) => void;
-	/** Sends a digest that is created when it is sent, because it tells how long hosts have been running. */
-	readonly sendDigest: (createDigest: () => DomainDigest, receivers: readonly HostContact[], sendBy?: Deadline) => void;
+	/** Sends a digest that is created for each receiver when it is sent, because it tells how long hosts have been running. */
+	readonly sendDigest: (createDigest: (receiver: HostContact) => DomainDigest, receivers: readonly HostContact[], sendBy?: Deadline) => void;
 	/** Introduces this host to a seed. */
 	readonly sendIntroduction: (seed: SeedAddress) => void;
 	/** Notifies the hosts of the own failure domain which registrations this one has refreshed. */
@@ -153,7 +153,7 @@
 		},
 		sendDigest(createDigest, receivers, sendBy) {
 			receivers.forEach(receiver => {
-				datagrams.send(() => JSON.stringify({kind: 'digest', digest: createDigest()} satisfies HostMessage), receiver, {sendBy: sendBy ?? clock.readNow(), topic: 'digest'});
+				datagrams.send(() => JSON.stringify({kind: 'digest', digest: createDigest(receiver)} satisfies HostMessage), receiver, {sendBy: sendBy ?? clock.readNow(), topic: 'digest'});
 			});
 		},
 		sendIntroduction(seed) {
--- a/packages/heatherpond-fleet/src/own-reports.ts
+++ b/packages/heatherpond-fleet/src/own-reports.ts
@@ -3,7 +3,7 @@
 import type {PositionTracker} from 'heatherpond-session';
 import type {ReceivedReport} from './domain-peers.js';
 import type {HostIdentity} from './fleet-services.js';
-import type {RegisteredIncarnation} from './host-message.js';
+import type {HostContact, RegisteredIncarnation} from './host-message.js';
 import {createReportedPositions, createReportEchoes} from './shared-positions.js';
 import type {UsageReport} from './usage-report.js';
 
@@ -12,8 +12,8 @@
 
 /** Reports of this host. */
 export type OwnReports = {
-	/** Creates the next report, which is to be sent at once; `hasLeft` marks the last one. */
-	readonly createReport: (hasLeft?: boolean) => UsageReport;
+	/** Creates the next report, which is to be sent at once, with echoes for its receivers; `hasLeft` marks the last one. */
+	readonly createReport: (receivers: readonly HostContact[], hasLeft?: boolean) => UsageReport;
 	/** Reads the usage in the last report. */
 	readonly readLastUsage: () => HostUsage;
 	/** Finds when a report was sent; nothing when it is no longer remembered or belongs to another incarnation. */
@@ -38,6 +38,9 @@
  */
 const MAX_REMEMBERED_REPORTS = 256;
 
+/** Maximum number of echoes in a report; more receivers than this are reported to only while a large domain starts. */
+const MAX_ECHOES = 32;
+
 /** Creates the reports of a host that has just started. */
 export function createOwnReports({clock, identity, positions, readHostUsage, readReceivedReports}: OwnReportsOptions): OwnReports {
 	const startedAt = clock.readNow();
@@ -46,8 +49,14 @@
 	/** Send times of the last reports, by sequence number. */
 	const sentAt = new Map<number, Instant>();
 
+	/** Selects the reports to echo: a report names those of its receivers only, or it would grow with the domain. */
+	function selectEchoed(receivers: readonly HostContact[]): readonly ReceivedReport[] {
+		const hosts = new Set(receivers.slice(0, MAX_ECHOES).map(({host}) => host));
+		return readReceivedReports().filter(({report}) => hosts.has(report.host));
+	}
+
 	return {
-		createReport(hasLeft = false) {
+		createReport(receivers, hasLeft = false) {
 			const now = clock.readNow();
 			sequence++;
 			sentAt.set(sequence, now);
@@ -56,7 +65,7 @@
 			const {host, incarnation, domain, address, port} = identity;
 			return {
 				host, incarnation, domain, address, port, sequence, isOfDomain: false, hasLeft, runningMs: Math.round(now - startedAt), ...lastUsage,
-				positions: createReportedPositions(positions, now), echoes: createReportEchoes(readReceivedReports(), now),
+				positions: createReportedPositions(positions, now), echoes: createReportEchoes(selectEchoed(receivers), now),
 			};
 		},
 		readLastUsage: () => lastUsage,
--- a/packages/heatherpond-fleet/src/usage-exchange.ts
+++ b/packages/heatherpond-fleet/src/usage-exchange.ts
@@ -27,6 +27,8 @@
 const DOMAIN_REPORT_INTERVAL_MS = 1200;
 /** Time for which what a leader sends to its domain waits for the next response to each host, in milliseconds: one poll interval. */
 const RELAY_DELAY_MS = PEER_POLL_INTERVAL_MS;
+/** Time for which the summed usage of the domain is reused, in milliseconds: a leader sends digests to many hosts in a row. */
+const DOMAIN_USAGE_CACHE_MS = 50;
 /** Number of hosts of a domain up to which they report to each other and not only to the leader. */
 const MAX_MESH_HOSTS = 6;
 /** Minimum time between two digests that answer the digest of another host, in milliseconds. */
@@ -101,11 +103,26 @@
 		clock, identity, positions, readHostUsage, readReceivedReports: () => [...peers.readReports(), ...remoteDomains.readReceived()],
 	});
 	const {findSentAt} = ownReports;
+	let domainUsage: {readonly usage: DomainUsage; readonly until: Instant} = {usage: {isVerified: false, teams: {}, databases: {}}, until: Number.NEGATIVE_INFINITY};
 	let lastDigestReplyAt: Instant = Number.NEGATIVE_INFINITY;
 	let stopDigestTimer = (): void => undefined;
 
 	function createDigest(own: UsageReport): DomainDigest {
-		return {own, usage: computeTotalUsage([own, ...peers.readReports().map(({report}) => report)]), members: [...peers.readMembers()]};
+		return {own, usage: readDomainUsage(own), members: [...peers.readMembers()]};
+	}
+
+	function computeDomainUsage(own: UsageReport): DomainUsage {
+		return computeTotalUsage([own, ...peers.readReports().map(({report}) => report)]);
+	}
+
+	/** Reads the usage of the domain, which every digest of the same moment contains. */
+	function readDomainUsage(own: UsageReport): DomainUsage {
+		const now = clock.readNow();
+		if (now >= domainUsage.until) {
+			domainUsage = {usage: computeDomainUsage(own), until: now + DOMAIN_USAGE_CACHE_MS};
+		}
+
+		return domainUsage.usage;
 	}
 
 	function isLeader(): boolean {
@@ -121,15 +138,16 @@
 		}
 	}
 
-	function createOwnDigest(): DomainDigest {
-		return createDigest(ownReports.createReport());
+	function createOwnDigest(receiver: HostContact): DomainDigest {
+		return createDigest(ownReports.createReport([receiver]));
 	}
 
 	function sendOwnReport(sendBy?: Deadline): void {
-		const report = ownReports.createReport();
-		recordReported();
 		const leader = peers.findLeader();
-		messages.sendUsage(report, leader && readTrustedDigest() ? [leader] : peers.readContacts(), sendBy);
+		const receivers = leader && readTrustedDigest() ? [leader] : peers.readContacts();
+		const report = ownReports.createReport(receivers);
+		recordReported();
+		messages.sendUsage(report, receivers, sendBy);
 	}
 
 	/** Reports with the next requests of this host, or with the next responses to those that send it requests if it is the leader. */
@@ -153,9 +171,11 @@
 
 	function sendDomainReport(): void {
 		if (isLeader()) {
-			const report = ownReports.createReport();
+			const receivers = remoteDomains.findReceivers(readRemoteHosts());
+			const report = ownReports.createReport(receivers);
 			recordReported();
-			messages.sendUsage({...report, ...createDigest(report).usage, isOfDomain: true}, remoteDomains.findReceivers(readRemoteHosts()));
+			// Not from the cache: the buckets record the demand of this instant.
+			messages.sendUsage({...report, ...computeDomainUsage(report), isOfDomain: true}, receivers);
 		}
 	}
 
@@ -201,7 +221,7 @@
 		if (isLeader()) {
 			messages.sendDigest(createOwnDigest, [newHost]);
 		} else if (!readTrustedDigest()) {
-			messages.sendUsage(ownReports.createReport(), [newHost]);
+			messages.sendUsage(ownReports.createReport([newHost]), [newHost]);
 		}
 	}
 
@@ -224,7 +244,7 @@
 			stopDigestTimer = clock.registerTimer(clock.readNow() + DIGEST_EXPIRY_MS, sendReport);
 			if (!digest.members.some(({incarnation}) => incarnation === identity.incarnation)) {
 				// The leader knows this host from the store only, and registers it once it has a report.
-				messages.sendUsage(ownReports.createReport(), [digest.own]);
+				messages.sendUsage(ownReports.createReport([digest.own]), [digest.own]);
 			}
 		} else if (isLeader() && (isNew || clock.readNow() >= lastDigestReplyAt + MIN_DIGEST_REPLY_INTERVAL_MS)) {
 			// Two hosts consider themselves the leader; the other one learns from the digest that it is not.
@@ -307,7 +327,7 @@
 			.toSorted((left, right) => left.domain < right.domain ? -1 : 1),
 		readTeam,
 		sendDeparture() {
-			messages.sendUsage(ownReports.createReport(true), peers.readContacts());
+			messages.sendUsage(ownReports.createReport([], true), peers.readContacts());
 		},
 		findDomainLeader: peers.findLeader,
 		readReceivedReports: peers.readReports,
