--- a/packages/heatherpond-fleet/src/__tests__/unit/shared-positions.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/shared-positions.test.ts
@@ -56,6 +56,16 @@
 });
 
 describe('a domain of many hosts', () => {
+	test('names in each report and digest only the last report of its receiver', async () => {
+		const fleet = createTestFleet(Array.from({length: 20}, (_, index) => `host-${index + 10}`));
+		await advance(fleet.clock, 6000);
+		const recent = fleet.datagrams.filter(({at}) => at > fleet.clock.readNow() - 1000).flatMap(({text}) => text.split('\n'));
+		const echoes = recent.flatMap(text => /"kind":"(?:usage|digest)"/v.test(text) ? [/"echoes":\{([^\}]*)\}/v.exec(text)?.[1] ?? ''] : []);
+		fleet.stop();
+		expect(echoes.length).toBeGreaterThan(20);
+		expect(echoes.every(text => text.split('],').length <= 1)).toBe(true);
+	});
+
 	/** The load: one host hears from the primary every 100 ms, the others have no statement for it. */
 	test('lets every host read from replicas by the position that one of them has seen', async () => {
 		const names = Array.from({length: 8}, (_, index) => `host-${index + 1}`);
