--- a/packages/heatherpond-fleet/src/poll-schedule.ts
+++ b/packages/heatherpond-fleet/src/poll-schedule.ts
@@ -6,9 +6,11 @@
 
 /** Milliseconds between requests of a host to its domain leader. */
 export const PEER_POLL_INTERVAL_MS = 800;
+/** Fraction of the interval below which a gap between two polls is not worth another poll. */
+const MIN_GAP_RATIO = 0.05;
 
 /**
- * Finds when the next of a series of polls is due: at most one interval after the previous one, and at an instant that all
+ * Finds when the next of a series of polls is due: at most one interval and a small gap after the previous one, at an instant that all
  * series of the same phase share.
  *
  * @param startedAt - when the previous poll started
@@ -21,6 +23,3 @@
 	// A poll that starts just before a shared instant takes the one after it.
 	return next - startedAt < intervalMs * MIN_GAP_RATIO ? next + intervalMs : next;
 }
-
-/** Fraction of the interval below which a gap between two polls is not worth another poll. */
-const MIN_GAP_RATIO = 0.05;
