--- a/packages/heatherpond-core/src/promotion-decisions.ts
+++ b/packages/heatherpond-core/src/promotion-decisions.ts
@@ -25,7 +25,7 @@
 	readonly probesWithoutContact: number;
 };
 
-/** One host's assessment of a group. */
+/** What one host tells the others about a group before they decide together whether its primary is replaced. */
 export type GroupAssessment = {
 	readonly domain: string;
 	/** Whether the host reaches enough members to promote one. */
--- a/packages/heatherpond-measure/src/suite/scenario-figures.ts
+++ b/packages/heatherpond-measure/src/suite/scenario-figures.ts
@@ -29,7 +29,7 @@
 	return Math.max(0, ...gaps);
 }
 
-/** Creates the figures of one scenario. */
+/** Derives the figures that a report compares between runs from the records of one scenario; each figure names its unit. */
 export function createScenarioFigures(result: ScenarioResult, contracts: readonly Contract[], routes: readonly string[]): readonly Figure[] {
 	const {records, selects} = result;
 	const worst = countServedShares(records, contracts)[0]!;
--- a/packages/heatherpond-postgres/src/client-connection.ts
+++ b/packages/heatherpond-postgres/src/client-connection.ts
@@ -11,7 +11,7 @@
 /** Handles one message; the next one is handled after a returned promise has settled. */
 export type ClientFrameHandler = (frame: Frame) => void | Promise<void>;
 
-/** The connection of one client. */
+/** The socket of one client as its session uses it: responses go out in order, one handler at a time takes what arrives. */
 export type ClientConnection = {
 	readonly output: ClientOutput;
 	/** Replaces the handler for all later messages. */
--- a/packages/heatherpond-standin/src/platform-table.ts
+++ b/packages/heatherpond-standin/src/platform-table.ts
@@ -14,7 +14,7 @@
 /** Maximum number of rows of a page when the request sets no limit. */
 const DEFAULT_SCAN_LIMIT = 1000;
 
-/** Creates an empty table. */
+/** Creates a table without rows; it lives in memory only, and ends with its process. */
 export function createPlatformTable(): PlatformTable {
 	const rows = new Map<string, Row>();
 	const orderedKeys: string[] = [];
--- a/packages/heatherpond-wire/src/frame-reader.ts
+++ b/packages/heatherpond-wire/src/frame-reader.ts
@@ -40,7 +40,7 @@
 const TYPE_BYTES = 1;
 const EMPTY = Buffer.alloc(0);
 
-/** Creates a frame reader. */
+/** Creates a reader that keeps the bytes of an incomplete frame until the rest arrives. */
 export function createFrameReader(options: FrameReaderOptions): FrameReader {
 	let pending: Buffer = EMPTY;
 	let parts: Buffer[] = [];
