Give the hosts of tests that restart one a loopback address of their own

While the host was down, its port was free, and an outgoing connection of a test beside it could take that port as its local one. Change: the hosts of the two tests that restart listen at 127.0.1.N, N being the number of the Jest worker; outgoing connections take their ports at 127.0.0.1 (checked: a connection to 127.0.1.3 has the local address 127.0.0.1).

--- a/packages/heatherpond-local/src/__tests__/unit/limits.test.ts
+++ b/packages/heatherpond-local/src/__tests__/unit/limits.test.ts
@@ -6,6 +6,7 @@
 } from 'heatherpond-core';
 import pg from 'pg';
 import {KRINGLOOP} from '../../deployment-plan.js';
+import {HOST_ADDRESS} from '../support/host-address.js';
 import {startLocalDeployment, type LocalDeployment} from '../../local-deployment.js';
 
 jest.setTimeout(60_000);
@@ -27,6 +28,7 @@
 		plan: {...KRINGLOOP, contracts: [CONTRACT]},
 		hostsPerDomain: 1,
 		clock,
+		hostAddress: HOST_ADDRESS,
 		logLevel: 'silent',
 		hostListLagMs: 0,
 		wrapLogger: (_host, logger) => ({
@@ -59,7 +61,7 @@
 
 async function openClient(index: number): Promise<pg.Client> {
 	const client = new pg.Client({
-		host: '127.0.0.1', port: deployment.hosts[index]!.callerPort, user: 'durban', password: deployment.keys.get('durban'), database: 'bookings-jhb',
+		host: HOST_ADDRESS, port: deployment.hosts[index]!.callerPort, user: 'durban', password: deployment.keys.get('durban'), database: 'bookings-jhb',
 	});
 	client.on('error', () => undefined);
 	await client.connect();
--- a/packages/heatherpond-local/src/__tests__/unit/peers.test.ts
+++ b/packages/heatherpond-local/src/__tests__/unit/peers.test.ts
@@ -4,6 +4,7 @@
 import {createSystemClock, readStampAge, waitUntil} from 'heatherpond-core';
 import pg from 'pg';
 import {KRINGLOOP, type DeploymentPlan} from '../../deployment-plan.js';
+import {HOST_ADDRESS} from '../support/host-address.js';
 import {startLocalDeployment, type LocalDeployment} from '../../local-deployment.js';
 import type {LocalHost} from '../../local-host.js';
 
@@ -19,7 +20,7 @@
 beforeEach(async () => {
 	stop = new AbortController();
 	deployment = await startLocalDeployment({
-		plan: PLAN, hostsPerDomain: 1, clock, logLevel: 'silent', hostListLagMs: 0, hostListTtlMs: 2500, signal: stop.signal,
+		plan: PLAN, hostsPerDomain: 1, hostAddress: HOST_ADDRESS, clock, logLevel: 'silent', hostListLagMs: 0, hostListTtlMs: 2500, signal: stop.signal,
 	});
 });
 
@@ -50,7 +51,7 @@
 /** Whether a client of the team can connect through the host. */
 async function isLoginAccepted(host: LocalHost, user: string): Promise<boolean> {
 	const client = new pg.Client({
-		host: '127.0.0.1', port: host.callerPort, user, password: deployment.keys.get(user), database: 'bookings-jhb',
+		host: HOST_ADDRESS, port: host.callerPort, user, password: deployment.keys.get(user), database: 'bookings-jhb',
 	});
 	client.on('error', () => undefined);
 	try {
--- a/packages/heatherpond-local/src/local-deployment.ts
+++ b/packages/heatherpond-local/src/local-deployment.ts
@@ -21,6 +21,8 @@
 	readonly plan: DeploymentPlan;
 	/** Hosts in each failure domain. */
 	readonly hostsPerDomain: number;
+	/** Loopback address on which the hosts listen; 127.0.0.1 by default. */
+	readonly hostAddress?: string;
 	/** Additional hosts in the first failure domain. */
 	readonly extraHosts?: number;
 	/** How hosts share the rate of a contract; `ledger` by default. */
@@ -93,7 +95,7 @@
 	const peerFaults = createPeerFaults();
 	const hostNames = plan.domains.flatMap((domain, domainIndex) => Array.from({length: options.hostsPerDomain + (domainIndex === 0 ? options.extraHosts ?? 0 : 0)}, (_value, index) => ({domain, host: `${domain}-${index + 1}`})));
 	const hosts = await Promise.all(hostNames.map(async name => startLocalHost({
-		...name, deployment: plan.name, platform: platform.address, peers: [], clock, logLevel: options.logLevel, databaseUser: DATA_USER, controlUser: CONTROL_USER, peerFaults, sharing: options.sharing, timings: options.timings ?? {}, limits: options.limits ?? {}, wrapLogger: options.wrapLogger, signal,
+		...name, address: options.hostAddress, deployment: plan.name, platform: platform.address, peers: [], clock, logLevel: options.logLevel, databaseUser: DATA_USER, controlUser: CONTROL_USER, peerFaults, sharing: options.sharing, timings: options.timings ?? {}, limits: options.limits ?? {}, wrapLogger: options.wrapLogger, signal,
 	})));
 
 	async function waitForVersion(target: number): Promise<void> {
--- a/packages/heatherpond-local/src/local-host.ts
+++ b/packages/heatherpond-local/src/local-host.ts
@@ -18,6 +18,8 @@
 	readonly platform: string;
 	/** Addresses of peers from which the host requests its initial view. */
 	readonly peers: readonly string[];
+	/** Address to listen on; 127.0.0.1 by default. */
+	readonly address?: string;
 	/** Ports to listen on; free ports are chosen by default. */
 	readonly ports?: {readonly callers: number; readonly peers: number};
 	readonly clock: Clock;
@@ -52,7 +54,7 @@
 
 /** Starts a host on the loopback interface; it stops when the signal aborts or when it is killed. */
 export async function startLocalHost(options: LocalHostOptions): Promise<LocalHost> {
-	const {host, domain, ports, clock, peerFaults} = options;
+	const {host, domain, ports, clock, peerFaults, address = LOOPBACK} = options;
 	const stop = new AbortController();
 	setMaxListeners(0, stop.signal);
 	options.signal.addEventListener('abort', () => {
@@ -62,8 +64,8 @@
 		deployment: options.deployment,
 		host,
 		domain,
-		listen: `${LOOPBACK}:${ports?.callers ?? 0}`,
-		peerListen: `${LOOPBACK}:${ports?.peers ?? 0}`,
+		listen: `${address}:${ports?.callers ?? 0}`,
+		peerListen: `${address}:${ports?.peers ?? 0}`,
 		platform: options.platform,
 		peers: [...options.peers],
 		logLevel: options.logLevel,
