Digests leave out what a host has already, and idle hosts do their periodic work at one instant

Change: a digest names the members only to hosts that do not have the list yet; the reports of other domains go to the leader's two successors, the others get one overview of the teams that they serve; the checks of registrations, promotions and pools run with the polls; notices name enough hosts of other domains for all to be named within 20 s (at 250 of them it took 32 s, after which they counted as gone). In-memory datagrams and links moved beside the memory store; 'npm run bench -- host' and a test count what hosts do on them; the fake clock keeps its timers in order.

--- a/packages/heatherpond-core/src/fake-clock.ts
+++ b/packages/heatherpond-core/src/fake-clock.ts
@@ -15,26 +15,45 @@
 	readonly advanceBy: (milliseconds: number) => void;
 };
 
+function compareTimers(left: FakeTimer, right: FakeTimer): number {
+	return left.deadline - right.deadline || left.order - right.order;
+}
+
 /** Creates a fake clock whose current instant is `start`. */
 export function createFakeClock(start: Instant = 0): FakeClock {
 	let now = start;
 	let order = 0;
-	const timers = new Set<FakeTimer>();
+	/** Pending timers in the order in which they fall due. */
+	const timers: FakeTimer[] = [];
+
+	/** Finds the index of the first timer that is not due before `timer`. */
+	function findIndex(timer: FakeTimer): number {
+		let low = 0;
+		let high = timers.length;
+		while (low < high) {
+			const middle = Math.floor((low + high) / 2);
+			if (compareTimers(timers[middle]!, timer) < 0) {
+				low = middle + 1;
+			} else {
+				high = middle;
+			}
+		}
 
-	function findDue(instant: Instant): FakeTimer | undefined {
-		return [...timers]
-			.filter(timer => timer.deadline <= instant)
-			.toSorted((left, right) => left.deadline - right.deadline || left.order - right.order)
-			.at(0);
+		return low;
+	}
+
+	function removeTimer(timer: FakeTimer): void {
+		const index = findIndex(timer);
+		if (timers[index] === timer) {
+			timers.splice(index, 1);
+		}
 	}
 
 	function advanceTo(instant: Instant): void {
-		let due = findDue(instant);
-		while (due) {
-			timers.delete(due);
+		while (timers.length > 0 && timers[0]!.deadline <= instant) {
+			const due = timers.shift()!;
 			now = Math.max(now, due.deadline);
 			due.callback();
-			due = findDue(instant);
 		}
 
 		now = Math.max(now, instant);
@@ -44,9 +63,9 @@
 		readNow: () => now,
 		registerTimer(deadline, callback) {
 			const timer: FakeTimer = {deadline, order: order++, callback};
-			timers.add(timer);
+			timers.splice(findIndex(timer), 0, timer);
 			return () => {
-				timers.delete(timer);
+				removeTimer(timer);
 			};
 		},
 		advanceTo,
--- a/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
+++ b/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
@@ -3,9 +3,8 @@
 import {createFakeClock, type FakeClock} from 'heatherpond-core';
 import {createUpstreamError} from 'heatherpond-session';
 import {
-	createMemoryStore, startFleetHost, type DatabaseControlPort, type DatabaseStatus, type FleetHost, type MemoryStore, type TeamLimit, type Upstream,
+	createMemoryDatagrams, createMemoryLinks, createMemoryStore, startFleetHost, type DatabaseControlPort, type DatagramPort, type DatabaseStatus, type FleetHost, type MemoryStore, type TeamLimit, type Upstream,
 } from '../../index.js';
-import {createMemoryLinks} from './memory-links.js';
 
 /** A fake database of the group. */
 export type TestDatabase = {
@@ -70,6 +69,7 @@
 /** Round trip time of the store in milliseconds. */
 export const STORE_LATENCY_MS = 10;
 const STATUS_LATENCY_MS = 10;
+const DATAGRAM_LATENCY_MS = 1;
 /** Milliseconds for which a database is cold after the evacuation of its failure domain. */
 export const WARM_UP_MS = 4000;
 const PROMOTE_MS = 300;
@@ -97,7 +97,6 @@
 	const clock = createFakeClock(1000);
 	const store = createMemoryStore({clock, latencyMs: STORE_LATENCY_MS});
 	const databases = new Map(['db-1', 'db-2', 'db-3'].map((id, index) => [id, createDatabase(id, index, databaseDomains[index]!)] as const));
-	const listeners = new Map<string, (text: string) => void>();
 	const links = createMemoryLinks(clock);
 	const hosts: TestHost[] = [];
 	const promotionRequests: RecordedPromotionRequest[] = [];
@@ -107,6 +106,32 @@
 	let incarnations = 0;
 	let draws = 0;
 
+	const network = createMemoryDatagrams({
+		clock, latencyMs: DATAGRAM_LATENCY_MS, recordSend: () => undefined,
+	});
+
+	/** Creates the datagram port of a host, whose datagrams are recorded, and lost while it is isolated or killed. */
+	function createFaultyDatagrams(name: string, host: Pick<TestHost, 'isKilled' | 'isIsolated' | 'dropsDatagram'>): DatagramPort {
+		const port = network.createPort(name);
+		return {
+			send(text, to, targetPort) {
+				datagrams.push({
+					from: name, to, text, at: clock.readNow(),
+				});
+				if (!host.isIsolated && !host.isKilled) {
+					port.send(text, to, targetPort);
+				}
+			},
+			registerListener(listener) {
+				port.registerListener(text => {
+					if (!host.isIsolated && !host.isKilled && !host.dropsDatagram(text)) {
+						listener(text);
+					}
+				});
+			},
+		};
+	}
+
 	function writeRegistration({upstream, isPrimary}: TestDatabase): void {
 		store.writeRow(REGISTRATIONS_TABLE, upstream.id, JSON.stringify({...upstream, claimsPrimary: isPrimary}));
 	}
@@ -193,25 +218,7 @@
 					return true;
 				},
 			},
-			datagrams: {
-				send(text, address) {
-					datagrams.push({
-						from: name, to: address, text, at: clock.readNow(),
-					});
-					if (!testHost.isIsolated && !testHost.isKilled) {
-						clock.registerTimer(clock.readNow() + 1, () => {
-							listeners.get(address)?.(text);
-						});
-					}
-				},
-				registerListener(listener) {
-					listeners.set(name, text => {
-						if (!testHost.isIsolated && !testHost.isKilled && !testHost.dropsDatagram(text)) {
-							listener(text);
-						}
-					});
-				},
-			},
+			datagrams: createFaultyDatagrams(name, testHost),
 			links: links.createPort(name),
 			seeds: seeds.map(address => ({address, port: 1})),
 			async openConnection() {
--- a/packages/heatherpond-fleet/src/__tests__/unit/relay.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/relay.test.ts
@@ -6,7 +6,7 @@
 import {
 	createRelayClient, selectRelays, isRelayRequired, orderRelaysForTeam, startRelayServer, type HostRecord, type RelayClient,
 } from '../../index.js';
-import {createMemoryLinks, type MemoryLinks} from '../support/memory-links.js';
+import {createMemoryLinks, type MemoryLinks} from '../../memory-links.js';
 import {advance} from '../support/steps.js';
 
 const RELAY: HostRecord = {
--- a/packages/heatherpond-fleet/src/domain-leader.ts
+++ b/packages/heatherpond-fleet/src/domain-leader.ts
@@ -56,14 +56,14 @@
 export type FindDomainLeader = () => HostContact | undefined;
 
 /** Minimum uptime in milliseconds of a domain leader, unless all hosts of the domain have started recently. */
-const MIN_READER_UPTIME_MS = 2600;
+export const MIN_LEADER_UPTIME_MS = 2600;
 /** Milliseconds between the starts of hosts that count as simultaneous; a host that started earlier has read the tables first. */
 const SIMULTANEOUS_START_MS = 50;
 
 /** Selects the first host by name among those with sufficient uptime; nothing when that is this host. */
 export function findDomainLeader(own: Pick<DomainPeer, 'host' | 'startedAt'>, peers: readonly DomainPeer[], now: Instant): HostContact | undefined {
 	const firstStartedAt = Math.min(own.startedAt, ...peers.map(({startedAt}) => startedAt));
-	const latestStartedAt = Math.max(now - MIN_READER_UPTIME_MS, firstStartedAt + SIMULTANEOUS_START_MS);
+	const latestStartedAt = Math.max(now - MIN_LEADER_UPTIME_MS, firstStartedAt + SIMULTANEOUS_START_MS);
 	const isCandidate = own.startedAt <= latestStartedAt;
 	return peers
 		.filter(({host, startedAt}) => startedAt <= latestStartedAt && (!isCandidate || host < own.host))
--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -1,5 +1,7 @@
 /** Assembles the components of a host on top of its ports, and controls when it accepts clients and how it shuts down. */
-import {createBlackboard, type Clock, type Deadline} from 'heatherpond-core';
+import {
+	createBlackboard, startLoop, type Clock, type Deadline,
+} from 'heatherpond-core';
 import {
 	createPositionTracker, type RequestBudget, type SessionServices, type UpstreamConnection, type WriteEvent,
 } from 'heatherpond-session';
@@ -30,7 +32,7 @@
 import {createPrimaryWork} from './primary-work.js';
 import {startPromotionController} from './promotion-controller.js';
 import {createRelayClient} from './relay-client.js';
-import {PEER_POLL_INTERVAL_MS} from './poll-schedule.js';
+import {findNextPoll, PEER_POLL_INTERVAL_MS} from './poll-schedule.js';
 import {startRelayServer} from './relay-server.js';
 import type {RowChange, StorePort} from './store-port.js';
 import {isOutdated} from './store-restore.js';
@@ -104,8 +106,6 @@
 const CONNECT_TIMEOUT_MS = 500;
 /** Milliseconds until a host learns of a change of the operator's rows: polls of up to three hosts in a row, and one lost request. */
 const MAX_LEARNING_MS = 3500;
-/** Milliseconds between maintenance runs: suspension check and refresh of the connection pools. */
-const MAINTENANCE_INTERVAL_MS = 1000;
 /** Milliseconds after the start of a host for which clients wait for its registration, which usually follows within a few round trips. */
 const START_MS = 2000;
 /** Idle timeout of a transaction in milliseconds before the contracts have been read. */
@@ -196,14 +196,14 @@
 		readHostUsage: () => ({isVerified: isHealthy(readState(), clock.readNow()), teams: limits.readUsage(), databases: upstreams.readUsage()}),
 	});
 	registrations.current = startHostRegistration({
-		services, findDomainLeader, waitUntilDiscovered: discovery.waitUntilDone, readReceivedReports: usage.exchange.readReceivedReports, findSentAt: usage.exchange.findSentAt, sendRegistered: messages.sendRegistered, signal,
+		services, findDomainLeader, waitUntilDiscovered: discovery.waitUntilDone, pollPhase, readReceivedReports: usage.exchange.readReceivedReports, findSentAt: usage.exchange.findSentAt, sendRegistered: messages.sendRegistered, signal,
 	});
 	messages.registerHandlers(createMessageHandlers({
 		host, limits, registration: registrations.current, exchange: usage.exchange, discovery,
 	}));
 	startPromotionConfirmations({...services, work, requestConfirmation: messages.requestConfirmation}, signal);
 	startPromotionController({
-		services, minPromotionLeaseMs: options.minPromotionLeaseMs, isPreferred: () => findDomainLeader() === undefined, signal,
+		services, minPromotionLeaseMs: options.minPromotionLeaseMs, isPreferred: () => findDomainLeader() === undefined, pollPhase, signal,
 	});
 	startMaintenance(host, upstreams);
 
@@ -277,17 +277,12 @@
 	};
 }
 
+/** Checks for a suspension and refreshes the connection pools, with the polls of the host. */
 function startMaintenance(host: HostContext, upstreams: UpstreamDirectory): void {
-	const {clock, signal} = host;
-	function runMaintenance(): void {
-		if (signal.aborted) {
-			return;
-		}
-
+	const {clock, pollPhase, signal} = host;
+	startLoop(clock, async () => {
 		checkSuspension(host);
 		upstreams.refresh();
-		clock.registerTimer(clock.readNow() + MAINTENANCE_INTERVAL_MS, runMaintenance);
-	}
-
-	runMaintenance();
+		return findNextPoll(clock.readNow(), PEER_POLL_INTERVAL_MS, pollPhase);
+	}, signal);
 }
--- a/packages/heatherpond-fleet/src/fleet-message-handlers.ts
+++ b/packages/heatherpond-fleet/src/fleet-message-handlers.ts
@@ -35,8 +35,8 @@
 		handleIntroduced: exchange.applyIntroduced,
 		handleDigest(digest) {
 			const {domain} = digest.own;
-			blackboard.update(state => applyHostContacts(state, digest.members.map(member => ({...member, domain})), clock.readNow()));
-			exchange.applyDigest(digest);
+			const members = exchange.applyDigest(digest);
+			blackboard.update(state => applyHostContacts(state, members.map(member => ({...member, domain})), clock.readNow()));
 			discovery.refresh();
 		},
 		handlePrimacy(primacy) {
--- a/packages/heatherpond-fleet/src/host-registration.ts
+++ b/packages/heatherpond-fleet/src/host-registration.ts
@@ -13,6 +13,7 @@
 import {registerSuspensionListener} from './fleet-state.js';
 import {applyRemoteDomainHosts, applyHostContacts, readHosts} from './host-list.js';
 import type {RegisteredIncarnation, RegistrationUpdate} from './host-message.js';
+import {findNextPoll, PEER_POLL_INTERVAL_MS} from './poll-schedule.js';
 import {REGISTRATION_MS} from './promotion-decisions.js';
 import {createPeerRecord, findExpiredHosts, findPeersToRegister} from './registration-decisions.js';
 import {StoreError, type TablePage} from './store-port.js';
@@ -32,6 +33,8 @@
 	readonly sendRegistered: (news: RegistrationUpdate) => void;
 	/** Resolves when this host has found its domain leader or given up; until then it does not register itself. */
 	readonly waitUntilDiscovered: () => Promise<void>;
+	/** An instant of the schedule of this host's polls, with which it also checks whether a refresh is due. */
+	readonly pollPhase: Instant;
 	readonly signal: AbortSignal;
 };
 
@@ -56,16 +59,15 @@
 const STARTUP_REFRESHES = 2;
 /** Milliseconds between the initial refreshes. */
 const STARTUP_REFRESH_INTERVAL_MS = 500;
-/** Milliseconds between checks whether a refresh is due. */
-const CHECK_INTERVAL_MS = 800;
 /** Milliseconds that a domain leader waits for more peers that have just started. */
 const NEW_PEERS_DELAY_MS = 60;
 /** Milliseconds after its start for which a host with a domain leader waits to be registered by it. */
 const STARTUP_GRACE_MS = 1200;
 /** Milliseconds within which the store must respond. */
 const STORE_TIMEOUT_MS = 900;
-/** Maximum number of hosts of other failure domains in one notification. */
-const REMOTE_HOSTS_PER_MESSAGE = 20;
+/** Minimum number of hosts of other failure domains in one notification, and of notifications in which all of them are named: those of 20 s, before they are forgotten. */
+const MIN_REMOTE_HOSTS_PER_MESSAGE = 20;
+const NOTIFICATIONS_FOR_ALL = 8;
 /** Maximum numbers of hosts registered, and of expired rows removed, in one transaction; the store accepts 100 entries, two for each registration. */
 const MAX_REGISTERED_PER_TRANSACTION = 40;
 const MAX_REMOVED_PER_TRANSACTION = 15;
@@ -140,7 +142,8 @@
 function findNextCheck(registration: Registration): Instant {
 	const now = registration.services.clock.readNow();
 	const nextRefreshAt = readNextRefresh(registration);
-	return nextRefreshAt > now ? Math.min(nextRefreshAt, now + CHECK_INTERVAL_MS) : now + CHECK_INTERVAL_MS;
+	const nextCheckAt = findNextPoll(now, PEER_POLL_INTERVAL_MS, registration.pollPhase);
+	return nextRefreshAt > now ? Math.min(nextRefreshAt, nextCheckAt) : nextCheckAt;
 }
 
 function readNextRefresh({nextRefreshAt, newPeersDueAt}: Registration): Instant {
@@ -299,9 +302,10 @@
 /** Selects the next hosts of other failure domains in rotation, so that notifications cover all of them over time. */
 function selectRemoteHosts(registration: Registration, hosts: ReadonlyMap<string, HostRecord>): HostRecord[] {
 	const remoteHosts = [...hosts.values()].filter(({domain}) => domain !== registration.services.identity.domain);
+	const count = Math.max(MIN_REMOTE_HOSTS_PER_MESSAGE, Math.ceil(remoteHosts.length / NOTIFICATIONS_FOR_ALL));
 	const firstIndex = registration.nextRemoteHost < remoteHosts.length ? registration.nextRemoteHost : 0;
-	registration.nextRemoteHost = firstIndex + REMOTE_HOSTS_PER_MESSAGE;
-	return remoteHosts.slice(firstIndex, firstIndex + REMOTE_HOSTS_PER_MESSAGE);
+	registration.nextRemoteHost = firstIndex + count;
+	return remoteHosts.slice(firstIndex, firstIndex + count);
 }
 
 /** Extends the registration of this host after the store has accepted a refresh that was requested at `refreshedAt`. */
--- a/packages/heatherpond-fleet/src/index.ts
+++ b/packages/heatherpond-fleet/src/index.ts
@@ -26,6 +26,8 @@
 export type * from './host-message.js';
 export * from './host-messages.js';
 export * from './host-registration.js';
+export * from './memory-datagrams.js';
+export * from './memory-links.js';
 export * from './memory-store.js';
 export * from './demand-rate.js';
 export * from './primacy.js';
--- a/packages/heatherpond-fleet/src/__tests__/support/memory-links.ts
+++ b/packages/heatherpond-fleet/src/memory-links.ts
@@ -1,6 +1,6 @@
 /** In-memory links between hosts. Messages arrive in order after a fixed latency; a link can drop messages or close. */
 import type {FakeClock} from 'heatherpond-core';
-import type {HostLink, HostLinkPort} from '../../index.js';
+import type {HostLink, HostLinkPort} from './host-links.js';
 
 /** One-way latency of a message, in milliseconds. */
 export const LINK_LATENCY_MS = 2;
--- a/packages/heatherpond-fleet/src/own-reports.ts
+++ b/packages/heatherpond-fleet/src/own-reports.ts
@@ -30,6 +30,8 @@
 	readonly readHostUsage: () => HostUsage;
 	/** Reads the last reports that other hosts have sent to this one. */
 	readonly readReceivedReports: () => readonly ReceivedReport[];
+	/** Reads the id of the list of members that this host has from its leader. */
+	readonly readMemberList: () => string | undefined;
 };
 
 /**
@@ -42,7 +44,7 @@
 const MAX_ECHOES = 32;
 
 /** Creates the reports of a host that has just started. */
-export function createOwnReports({clock, identity, positions, readHostUsage, readReceivedReports}: OwnReportsOptions): OwnReports {
+export function createOwnReports({clock, identity, positions, readHostUsage, readReceivedReports, readMemberList}: OwnReportsOptions): OwnReports {
 	const startedAt = clock.readNow();
 	let sequence = 0;
 	let lastUsage: HostUsage = {isVerified: false, teams: {}, databases: {}};
@@ -65,7 +67,7 @@
 			const {host, incarnation, domain, address, port} = identity;
 			return {
 				host, incarnation, domain, address, port, sequence, isOfDomain: false, hasLeft, runningMs: Math.round(now - startedAt), ...lastUsage,
-				positions: createReportedPositions(positions, now), echoes: createReportEchoes(selectEchoed(receivers), now),
+				positions: createReportedPositions(positions, now), echoes: createReportEchoes(selectEchoed(receivers), now), memberList: readMemberList(),
 			};
 		},
 		readLastUsage: () => lastUsage,
--- a/packages/heatherpond-fleet/src/promotion-controller.ts
+++ b/packages/heatherpond-fleet/src/promotion-controller.ts
@@ -1,5 +1,7 @@
 /** Starts due promotions, takes over those that another host has abandoned, and records the initial primary of each group. */
-import {startLoop, waitUntil, type Instant} from 'heatherpond-core';
+import {
+	startLoop, waitUntil, type Deadline, type Instant,
+} from 'heatherpond-core';
 import {
 	createPromotionLease, PROMOTION_LEASE_MS, PROMOTION_LEASE_RENEWAL_MS, isPromotionLeaseAvailable, hasPromotionLease, readPromotionLeaseDeadline,
 } from './promotion-lease.js';
@@ -10,6 +12,7 @@
 import type {FleetState, Versioned} from './fleet-state.js';
 import {recordAffirmations, findUnaffirmed} from './record-affirmations.js';
 import {findUnrecordedPrimaries, writeInitialPrimary} from './initial-primaries.js';
+import {findNextPoll, PEER_POLL_INTERVAL_MS} from './poll-schedule.js';
 import {isAffirmed} from './primacy.js';
 import {decidePromotionCause, findLiveHosts, type PromotionCause} from './promotion-decisions.js';
 import {runPromotion} from './promotion-run.js';
@@ -25,6 +28,8 @@
 	readonly minPromotionLeaseMs: number;
 	/** Whether this host is the preferred one to act; other hosts act after an additional delay. */
 	readonly isPreferred: () => boolean;
+	/** An instant of the schedule of this host's polls, which idle hosts that are not preferred share with their steps. */
+	readonly pollPhase: Instant;
 	readonly signal: AbortSignal;
 };
 
@@ -47,7 +52,7 @@
  */
 const STEP_INTERVALS_MS = {
 	preferred: {idle: 250, active: 50},
-	other: {idle: 1000, active: 250},
+	other: {idle: PEER_POLL_INTERVAL_MS, active: 250},
 };
 const STORE_TIMEOUT_MS = 600;
 /** Maximum random delay in milliseconds before a host acts on a condition that all hosts observe. */
@@ -69,7 +74,7 @@
 	const loop = startLoop(clock, async () => {
 		const startedAt = clock.readNow();
 		await runStep(controller);
-		return startedAt + readStepInterval(controller);
+		return findNextStep(controller, startedAt);
 	}, signal);
 	const stopListening = [
 		blackboard.registerListener(({primacies}) => primacies, loop.wake),
@@ -83,9 +88,14 @@
 	}, {once: true});
 }
 
-function readStepInterval(controller: Controller): number {
-	const {idle, active} = STEP_INTERVALS_MS[controller.isPreferred() || controller.runningGroups.size > 0 ? 'preferred' : 'other'];
-	return isActive(controller) ? active : idle;
+function findNextStep(controller: Controller, startedAt: Instant): Deadline {
+	const isPreferred = controller.isPreferred() || controller.runningGroups.size > 0;
+	const {idle, active} = STEP_INTERVALS_MS[isPreferred ? 'preferred' : 'other'];
+	if (isActive(controller)) {
+		return startedAt + active;
+	}
+
+	return isPreferred ? startedAt + idle : findNextPoll(startedAt, idle, controller.pollPhase);
 }
 
 /** Whether there is work that must be continued without delay. */
--- a/packages/heatherpond-fleet/src/remote-usage.ts
+++ b/packages/heatherpond-fleet/src/remote-usage.ts
@@ -1,5 +1,6 @@
 /** Sums of the usage that hosts and failure domains report. */
 import type {Clock, Instant} from 'heatherpond-core';
+import type {HostUsage} from './own-reports.js';
 import type {DomainUsage} from './usage-report.js';
 
 /** Usage of one database. */
@@ -67,3 +68,15 @@
 	});
 	return sums;
 }
+
+/** Subtracts the usage that this host has reported from that of its domain. */
+export function computeOthersUsage(usage: DomainUsage, own: HostUsage): DomainUsage {
+	return {
+		isVerified: usage.isVerified,
+		teams: usage.teams,
+		databases: Object.fromEntries(Object.entries(usage.databases).map(([database, [statements, connections]]) => {
+			const [ownStatements, ownConnections] = own.databases[database] ?? [0, 0];
+			return [database, [Math.max(0, statements - ownStatements), Math.max(0, connections - ownConnections)]];
+		})),
+	};
+}
--- a/packages/heatherpond-fleet/src/usage-exchange.ts
+++ b/packages/heatherpond-fleet/src/usage-exchange.ts
@@ -1,15 +1,17 @@
 /**
  * Exchanges usage reports. The hosts of a failure domain report to their leader, which sends them a digest of all reports; in
- * a small domain, and while no digest arrives, they report to each other, so that they know whom to follow next. The leader also sends the sum
- * over its domain to one host of every other domain, which relays it to its domain peers.
+ * a small domain, and while no digest arrives, they report to each other, so that they know whom to follow next. The leader
+ * also sends the sum over its domain to the leader of every other domain, which relays it to its successors and gives the
+ * other hosts of its domain an overview of all domains.
  */
 import {
 	runPeriodically, startLoop, type Deadline, type Instant,
 } from 'heatherpond-core';
 import type {PositionTracker} from 'heatherpond-session';
 import type {FindDomainLeader} from './domain-leader.js';
+import {createDomainDigests} from './domain-digests.js';
 import {
-	createDomainPeers, DIGEST_EXPIRY_MS, type ReceivedReport,
+	createDomainPeers, DIGEST_EXPIRY_MS, type ReceivedDigest, type ReceivedReport,
 } from './domain-peers.js';
 import type {FleetServices} from './fleet-services.js';
 import {registerClockListener} from './fleet-state.js';
@@ -18,17 +20,19 @@
 import {createOwnReports, type HostUsage} from './own-reports.js';
 import {findNextPoll, PEER_POLL_INTERVAL_MS} from './poll-schedule.js';
 import {createRemoteDomains} from './remote-domains.js';
-import {countTeamDemand, createDatabaseUsageCache, computeTotalUsage} from './remote-usage.js';
+import {
+	countTeamDemand, computeOthersUsage, computeTotalUsage, createDatabaseUsageCache,
+} from './remote-usage.js';
 import type {TeamUsage} from './team-limits.js';
 import {applyReportedPositions} from './shared-positions.js';
-import type {DomainDigest, DomainUsage, UsageReport} from './usage-report.js';
+import type {
+	DomainDigest, DomainMember, DomainUsage, UsageReport,
+} from './usage-report.js';
 
 /** Time between two reports of a failure domain to the others, in milliseconds. */
 const DOMAIN_REPORT_INTERVAL_MS = 1200;
 /** Time for which what a leader sends to its domain waits for the next response to each host, in milliseconds: one poll interval. */
 const RELAY_DELAY_MS = PEER_POLL_INTERVAL_MS;
-/** Time for which the summed usage of the domain is reused, in milliseconds: a leader sends digests to many hosts in a row. */
-const DOMAIN_USAGE_CACHE_MS = 50;
 /** Number of hosts of a domain up to which they report to each other and not only to the leader. */
 const MAX_MESH_HOSTS = 6;
 /** Minimum time between two digests that answer the digest of another host, in milliseconds. */
@@ -41,8 +45,8 @@
 export type UsageExchange = {
 	/** Handles the report of another host; reports that are older than the last one of the same incarnation are ignored. */
 	readonly applyReport: (report: UsageReport, isRelayed: boolean) => void;
-	/** Handles the digest of a host of the own domain that considers itself the leader. */
-	readonly applyDigest: (digest: DomainDigest) => void;
+	/** Handles the digest of a host of the own domain that considers itself the leader; returns the live hosts that it names. */
+	readonly applyDigest: (digest: DomainDigest) => readonly DomainMember[];
 	/** Reports to hosts of the own domain that another host has named. */
 	readonly applyIntroduced: (hosts: readonly HostContact[]) => void;
 	/** Finds the leader of a domain that has reported recently, or of the own domain; `undefined` when it is not known. */
@@ -100,31 +104,15 @@
 	const startedAt = clock.readNow();
 	const remoteDomains = createRemoteDomains(clock);
 	const ownReports = createOwnReports({
-		clock, identity, positions, readHostUsage, readReceivedReports: () => [...peers.readReports(), ...remoteDomains.readReceived()],
+		clock, identity, positions, readHostUsage, readReceivedReports: () => [...peers.readReports(), ...remoteDomains.readReceived()], readMemberList: peers.readMemberList,
 	});
 	const {findSentAt} = ownReports;
-	let domainUsage: {readonly usage: DomainUsage; readonly until: Instant} = {usage: {isVerified: false, teams: {}, databases: {}}, until: Number.NEGATIVE_INFINITY};
+	const {createDigest, computeDomainUsage} = createDomainDigests({
+		clock, incarnation: identity.incarnation, peers, ownReports, remoteDomains,
+	});
 	let lastDigestReplyAt: Instant = Number.NEGATIVE_INFINITY;
 	let stopDigestTimer = (): void => undefined;
 
-	function createDigest(own: UsageReport): DomainDigest {
-		return {own, usage: readDomainUsage(own), members: [...peers.readMembers()]};
-	}
-
-	function computeDomainUsage(own: UsageReport): DomainUsage {
-		return computeTotalUsage([own, ...peers.readReports().map(({report}) => report)]);
-	}
-
-	/** Reads the usage of the domain, which every digest of the same moment contains. */
-	function readDomainUsage(own: UsageReport): DomainUsage {
-		const now = clock.readNow();
-		if (now >= domainUsage.until) {
-			domainUsage = {usage: computeDomainUsage(own), until: now + DOMAIN_USAGE_CACHE_MS};
-		}
-
-		return domainUsage.usage;
-	}
-
 	function isLeader(): boolean {
 		return peers.findLeader() === undefined && !isDiscovering();
 	}
@@ -132,16 +120,12 @@
 	/** Sends the report of this host at once, or the digest if it is the leader. */
 	function sendReport(): void {
 		if (isLeader()) {
-			messages.sendDigest(createOwnDigest, peers.readContacts());
+			messages.sendDigest(createDigest, peers.readContacts());
 		} else {
 			sendOwnReport();
 		}
 	}
 
-	function createOwnDigest(receiver: HostContact): DomainDigest {
-		return createDigest(ownReports.createReport([receiver]));
-	}
-
 	function sendOwnReport(sendBy?: Deadline): void {
 		const leader = peers.findLeader();
 		const receivers = leader && readTrustedDigest() ? [leader] : peers.readContacts();
@@ -160,8 +144,8 @@
 
 		const followers = new Set(peers.readReports().map(({report}) => report.host));
 		const contacts = peers.readContacts();
-		messages.sendDigest(createOwnDigest, contacts.filter(({host}) => followers.has(host)), now + RELAY_DELAY_MS);
-		messages.sendDigest(createOwnDigest, contacts.filter(({host}) => !followers.has(host)));
+		messages.sendDigest(createDigest, contacts.filter(({host}) => followers.has(host)), now + RELAY_DELAY_MS);
+		messages.sendDigest(createDigest, contacts.filter(({host}) => !followers.has(host)));
 	}
 
 	function sendReportsAtOnce(): void {
@@ -180,15 +164,15 @@
 	}
 
 	/** Reads the digest where it stands for the reports of the domain peers; in a small domain their own reports are more recent. */
-	function readTrustedDigest(): DomainDigest | undefined {
-		const digest = peers.readDigest();
-		return digest && digest.members.length > MAX_MESH_HOSTS ? digest : undefined;
+	function readTrustedDigest(): ReceivedDigest | undefined {
+		const received = peers.readDigest();
+		return received && received.members.length > MAX_MESH_HOSTS ? received : undefined;
 	}
 
 	/** Counts the domain peers with which this host is in contact: those that the leader names, or those that report to this host. */
 	function countLivePeers(): number {
-		const digest = readTrustedDigest();
-		return digest ? digest.members.length - 1 : peers.readReports().filter(({receivedAt}) => receivedAt + CONTACT_EXPIRY_MS > clock.readNow()).length;
+		const trusted = readTrustedDigest();
+		return trusted ? trusted.members.length - 1 : peers.readReports().filter(({receivedAt}) => receivedAt + CONTACT_EXPIRY_MS > clock.readNow()).length;
 	}
 
 	function applyReport(report: UsageReport, isRelayed: boolean): void {
@@ -219,7 +203,7 @@
 	/** Makes this host known to one that has just started: it needs the demand at the other hosts, and whom to follow. */
 	function notifyNewHost(newHost: HostContact): void {
 		if (isLeader()) {
-			messages.sendDigest(createOwnDigest, [newHost]);
+			messages.sendDigest(createDigest, [newHost]);
 		} else if (!readTrustedDigest()) {
 			messages.sendUsage(ownReports.createReport([newHost]), [newHost]);
 		}
@@ -227,11 +211,22 @@
 
 	function applyDomainReport(report: UsageReport, isRelayed: boolean): void {
 		if (remoteDomains.applyReport(report) && !isRelayed) {
-			messages.sendRelayed(report, peers.readContacts(), clock.readNow() + RELAY_DELAY_MS);
+			// The receivers know positions from this host, and the echoes are for it alone.
+			messages.sendRelayed({...report, positions: undefined, echoes: undefined}, findRelayReceivers(), clock.readNow() + RELAY_DELAY_MS);
+		}
+	}
+
+	/** Finds the domain peers that need the single reports of other domains: the leader and its successors, and all of them while no leader is known. */
+	function findRelayReceivers(): readonly HostContact[] {
+		const leader = peers.findLeader();
+		if (leader) {
+			return [leader];
 		}
+
+		return isLeader() ? peers.findSuccessors() : peers.readContacts();
 	}
 
-	function applyDigest(digest: DomainDigest): void {
+	function applyDigest(digest: DomainDigest): readonly DomainMember[] {
 		applyReportedPositions(digest.own, identity.host, findSentAt, positions);
 		databaseUsage.clear();
 		const isNew = peers.applyReport(digest.own);
@@ -239,17 +234,28 @@
 			handleNewPeer();
 		}
 
-		if (peers.applyDigest(digest)) {
-			stopDigestTimer();
-			stopDigestTimer = clock.registerTimer(clock.readNow() + DIGEST_EXPIRY_MS, sendReport);
-			if (!digest.members.some(({incarnation}) => incarnation === identity.incarnation)) {
-				// The leader knows this host from the store only, and registers it once it has a report.
-				messages.sendUsage(ownReports.createReport([digest.own]), [digest.own]);
-			}
+		const received = peers.applyDigest(digest);
+		if (received) {
+			applyLeaderDigest(received);
 		} else if (isLeader() && (isNew || clock.readNow() >= lastDigestReplyAt + MIN_DIGEST_REPLY_INTERVAL_MS)) {
 			// Two hosts consider themselves the leader; the other one learns from the digest that it is not.
 			lastDigestReplyAt = clock.readNow();
-			messages.sendDigest(createOwnDigest, [digest.own]);
+			messages.sendDigest(createDigest, [digest.own]);
+		}
+
+		return received?.members ?? digest.members ?? [];
+	}
+
+	function applyLeaderDigest({digest: {own, remote}, members}: ReceivedDigest): void {
+		stopDigestTimer();
+		stopDigestTimer = clock.registerTimer(clock.readNow() + DIGEST_EXPIRY_MS, sendReport);
+		if (remote) {
+			remoteDomains.applyOverview(remote);
+		}
+
+		if (!members.some(({incarnation}) => incarnation === identity.incarnation)) {
+			// The leader knows this host from the store only, and registers it once it has a report.
+			messages.sendUsage(ownReports.createReport([own]), [own]);
 		}
 	}
 
@@ -259,26 +265,25 @@
 
 	/** Reads the usage of the other hosts of the domain. */
 	function readPeerUsage(): DomainUsage {
-		const digest = readTrustedDigest();
-		return digest ? computeOthersUsage(digest.usage, ownReports.readLastUsage()) : computeTotalUsage(peers.readReports().map(({report}) => report));
+		const trusted = readTrustedDigest();
+		return trusted ? computeOthersUsage(trusted.digest.usage, ownReports.readLastUsage()) : computeTotalUsage(peers.readReports().map(({report}) => report));
 	}
 
-	const databaseUsage = createDatabaseUsageCache(clock, () => [readPeerUsage(), ...remoteDomains.readRecent()]);
+	const databaseUsage = createDatabaseUsageCache(clock, () => [readPeerUsage(), ...remoteDomains.readRecentUsages()]);
 
 	function readTeam(team: string): TeamUsage {
 		const registered = messages.readPeers();
-		const known = remoteDomains.readKnown();
 		const peerCount = registered.filter(({domain}) => domain === identity.domain).length;
 		const liveDomainHosts = countLivePeers() + 1;
 		const otherDomains = clock.readNow() < startedAt + DOMAIN_START_MS ? domains : registered.map(({domain}) => domain);
 		const unreportedDomains = new Set(otherDomains.filter(domain => domain !== identity.domain && !remoteDomains.hasReported(domain)));
-		const digest = readTrustedDigest();
+		const trusted = readTrustedDigest();
 		return {
 			otherDomains: {
-				demandPerSecond: countTeamDemand(known, team), heard: known.length, unheard: unreportedDomains.size, coveredFraction: liveDomainHosts / Math.max(liveDomainHosts, peerCount + 1),
+				demandPerSecond: countTeamDemand(remoteDomains.readUsages(), team), heard: remoteDomains.countReported(), unheard: unreportedDomains.size, coveredFraction: liveDomainHosts / Math.max(liveDomainHosts, peerCount + 1),
 			},
-			domainPeersPerSecond: digest
-				? Math.max(0, countTeamDemand([digest.usage], team) - countTeamDemand([ownReports.readLastUsage()], team))
+			domainPeersPerSecond: trusted
+				? Math.max(0, countTeamDemand([trusted.digest.usage], team) - countTeamDemand([ownReports.readLastUsage()], team))
 				: countTeamDemand(peers.readReports().map(({report}) => report), team),
 			liveDomainHosts,
 		};
@@ -316,13 +321,13 @@
 				sendReport();
 			}
 		},
-		findLeaderOf: domain => domain === identity.domain ? peers.findLeader() : remoteDomains.findLeaderOf(domain),
+		findLeaderOf: domain => domain === identity.domain ? peers.findLeader() : remoteDomains.readLeaders().find(leader => leader.domain === domain),
 		readLeaders() {
 			const own = peers.findLeader();
-			return [...(own ? [own] : []), ...remoteDomains.readRecent()];
+			return [...(own ? [own] : []), ...remoteDomains.readLeaders()];
 		},
-		readOtherLeaders: team => remoteDomains.readRecent().toSorted((left, right) => countTeamDemand([left], team) - countTeamDemand([right], team)),
-		readVerifiedLeaders: () => remoteDomains.readRecent()
+		readOtherLeaders: team => remoteDomains.readReceived().map(({report}) => report).toSorted((left, right) => countTeamDemand([left], team) - countTeamDemand([right], team)),
+		readVerifiedLeaders: () => remoteDomains.readLeaders()
 			.filter(({isVerified}) => isVerified)
 			.toSorted((left, right) => left.domain < right.domain ? -1 : 1),
 		readTeam,
@@ -332,20 +337,8 @@
 		findDomainLeader: peers.findLeader,
 		readReceivedReports: peers.readReports,
 		findSentAt,
-		isVerifiedElsewhere: () => readPeerUsage().isVerified || remoteDomains.readRecent().some(({isVerified}) => isVerified),
+		isVerifiedElsewhere: () => readPeerUsage().isVerified || remoteDomains.readLeaders().some(({isVerified}) => isVerified),
 		countRemoteStatements: database => databaseUsage.read(database).statements,
 		countRemoteConnections: database => databaseUsage.read(database).connections,
 	};
 }
-
-/** Subtracts the usage that this host has reported from that of its domain. */
-function computeOthersUsage(usage: DomainUsage, own: HostUsage): DomainUsage {
-	return {
-		isVerified: usage.isVerified,
-		teams: usage.teams,
-		databases: Object.fromEntries(Object.entries(usage.databases).map(([database, [statements, connections]]) => {
-			const [ownStatements, ownConnections] = own.databases[database] ?? [0, 0];
-			return [database, [Math.max(0, statements - ownStatements), Math.max(0, connections - ownConnections)]];
-		})),
-	};
-}
--- a/packages/heatherpond-fleet/src/usage-report.ts
+++ b/packages/heatherpond-fleet/src/usage-report.ts
@@ -50,6 +50,8 @@
 	positions: z.optional(positionsSchema),
 	/** Last report received from each host: its incarnation and sequence number, and the milliseconds since then. */
 	echoes: z.optional(echoesSchema),
+	/** Id of the last list of members that the sender has received from its leader. */
+	memberList: z.optional(z.string()),
 });
 
 /** A live host of a failure domain, as its leader knows it. */
@@ -71,11 +73,34 @@
 /** Usage of a failure domain. */
 export type DomainUsage = z.infer<typeof domainUsageSchema>;
 
+/** A host that reports for another failure domain, as the sender of a digest knows it. */
+export const remoteLeaderSchema = z.object({
+	...z.pick(usageReportSchema, {
+		host: true, incarnation: true, domain: true, address: true, port: true, isVerified: true,
+	}).shape,
+	/** Milliseconds since its last report. */
+	ageMs: z.number(),
+});
+
+/** A host that reports for another failure domain. */
+export type RemoteLeader = z.infer<typeof remoteLeaderSchema>;
+
+/** What a domain leader knows of the other failure domains together; it stands for their single reports. */
+export const remoteOverviewSchema = z.object({usage: domainUsageSchema, leaders: z.array(remoteLeaderSchema)});
+
+/** Overview of the other failure domains. */
+export type RemoteOverview = z.infer<typeof remoteOverviewSchema>;
+
 /** Message of a domain leader to the hosts of its failure domain: its own report, the usage of the domain and its live hosts. */
 export const domainDigestSchema = z.object({
 	own: usageReportSchema,
 	usage: domainUsageSchema,
-	members: z.array(domainMemberSchema),
+	/** Id of the list of live hosts; another list has another id. */
+	memberList: z.string(),
+	/** The live hosts; absent when the receiver has reported that it has the list. */
+	members: z.optional(z.array(domainMemberSchema)),
+	/** The other failure domains; absent for hosts to which their reports are relayed. */
+	remote: z.optional(remoteOverviewSchema),
 });
 
 /** Digest of a failure domain. */
--- a/packages/heatherpond-measure/src/measurements.ts
+++ b/packages/heatherpond-measure/src/measurements.ts
@@ -71,6 +71,14 @@
 			return runSpreadBench(options);
 		},
 	},
+	{
+		name: 'host',
+		description: 'Messages, timers and processor time of a host of the users\' platform, by the size of the fleet, and of its statements',
+		async run(options) {
+			const {runHostBench} = await import('./bench-host.js');
+			return runHostBench(options);
+		},
+	},
 	{
 		name: 'control',
 		description: 'Control-plane traffic and CPU time per host, by the number of hosts, teams and groups',
