--- a/packages/heatherpond-fleet/src/__tests__/unit/evacuation.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/evacuation.test.ts
@@ -174,6 +174,28 @@
 		expect(upstreams.hasPermitted(GROUP, new Set(['elsewhere']))).toBe(false);
 	});
 
+	test('let a host ask the primary outside them for its position', async () => {
+		await startFleet();
+		const {positions, primacy} = fleet.hosts[0]!.host.sessions;
+		positions.clear();
+		const requests = [1, 2].map(async () => primacy.requestPosition(GROUP, fleet.clock.readNow() + 100));
+		await advance(fleet.clock, 100);
+		await Promise.all(requests);
+		expect(positions.findNewestPosition(GROUP, 1)).toEqual({term: 1, position: 100n});
+	});
+
+	test('let no host ask a primary that is evacuated', async () => {
+		await startFleet();
+		const {primacy, positions} = fleet.hosts[0]!.host.sessions;
+		DOMAINS.forEach(domain => {
+			writeEvacuation(domain, true);
+		});
+		await measureUntil(({host}) => !host.sessions.upstreams.hasPermitted(GROUP, NO_HOMES), EVACUATION_MS);
+		positions.clear();
+		await primacy.requestPosition(GROUP, fleet.clock.readNow() + 100);
+		expect(positions.findNewestPosition(GROUP, 1)).toBeUndefined();
+	});
+
 	test('leave the primary where it is when no database is in them', async () => {
 		fleet = createTestFleet(HOSTS, {databaseDomains: DOMAINS, homes: new Set(['elsewhere'])});
 		await advance(fleet.clock, 8000);
--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -32,6 +32,7 @@
 import {createPrimaryWork} from './primary-work.js';
 import {startPromotionController} from './promotion-controller.js';
 import {createRelayClient} from './relay-client.js';
+import {createPositionRequests} from './position-requests.js';
 import {findNextPoll, PEER_POLL_INTERVAL_MS} from './poll-schedule.js';
 import {startRelayServer} from './relay-server.js';
 import type {RowChange, StorePort} from './store-port.js';
@@ -159,6 +160,7 @@
 	};
 	const work = createPrimaryWork(clock);
 	const positions = createPositionTracker();
+	const requestPosition = createPositionRequests({...services, positions});
 	const suspicion = createPrimaryFailureDetector(services, signal);
 	const limits = createTeamLimits({
 		findOtherLimit: subject => findColdLimit(blackboard.read(), subject),
@@ -248,6 +250,7 @@
 					await waitForState({blackboard, clock}, state => state.leaseVerifiedAt !== before.leaseVerifiedAt || state.primacies !== before.primacies, deadline, waitSignal);
 				},
 				registerWork: work.register,
+				requestPosition,
 			},
 			admission: limits,
 			readIdleTransactionMs: () => blackboard.read().contracts?.idleTransactionMs ?? DEFAULT_IDLE_TRANSACTION_MS,
--- a/packages/heatherpond-fleet/src/index.ts
+++ b/packages/heatherpond-fleet/src/index.ts
@@ -13,6 +13,7 @@
 export * from './domain-peers.js';
 export * from './permitted-places.js';
 export * from './poll-schedule.js';
+export * from './position-requests.js';
 export * from './promotion-lease.js';
 export * from './evacuations.js';
 export * from './fleet-host.js';
--- a/packages/heatherpond-session/src/__tests__/support/test-services.ts
+++ b/packages/heatherpond-session/src/__tests__/support/test-services.ts
@@ -35,6 +35,10 @@
 	access: 'allow' | 'unknown_key' | 'unverified';
 	/** Retry-after time of the admission control; 0 admits. */
 	admissionDelayMs: number;
+	/** Position that the primary tells when it is asked; undefined when it does not answer. */
+	toldPosition: bigint | undefined;
+	/** Number of times that the primary was asked. */
+	positionRequests: number;
 	/** Databases to which nothing may be sent, for lack of a home region or because of an evacuation. */
 	readonly forbidden: Set<string>;
 	/** By cold database: retry-after time of its budget; 0 admits. */
@@ -151,6 +155,8 @@
 		isReplaced: false,
 		access: 'allow',
 		admissionDelayMs: 0,
+		toldPosition: undefined,
+		positionRequests: 0,
 		forbidden: new Set(),
 		budgets: new Map(),
 		pools,
@@ -171,6 +177,15 @@
 						clock.registerTimer(Math.min(deadline, clock.readNow() + 20), resolve);
 					});
 				},
+				async requestPosition(group) {
+					test.positionRequests++;
+					await new Promise<void>(resolve => {
+						clock.registerTimer(clock.readNow() + RESPONSE_DELAY_MS, resolve);
+					});
+					if (test.toldPosition !== undefined) {
+						positions.recordPrimaryPosition(group, 1, {term: 1, position: test.toldPosition}, clock.readNow() - RESPONSE_DELAY_MS);
+					}
+				},
 				registerWork() {
 					primaryWork++;
 					return () => {
--- a/packages/heatherpond-session/src/__tests__/unit/places.test.ts
+++ b/packages/heatherpond-session/src/__tests__/unit/places.test.ts
@@ -35,6 +35,30 @@
 		expect(await startSession(fixture)(READ)).toMatchObject({kind: 'answer', database: 'db-3'});
 	});
 
+	test('a read goes to a permitted replica once the primary, which it must not use, has told its position', async () => {
+		const fixture = createTestServices(createRoute('bounded_staleness'));
+		fixture.forbidden.add('db-1');
+		fixture.toldPosition = 100n;
+		expect(await startSession(fixture)(READ)).toMatchObject({kind: 'answer'});
+		expect(fixture.positionRequests).toBe(1);
+		expect(fixture.seen.filter(({database}) => database === 'db-1')).toEqual([]);
+	});
+
+	test('a read is refused, as not run, when the primary that it must not use does not tell its position', async () => {
+		const fixture = createTestServices(createRoute('bounded_staleness'));
+		fixture.forbidden.add('db-1');
+		const start = fixture.clock.readNow();
+		expect(await startSession(fixture)(READ)).toMatchObject({kind: 'refused', refusal: {code: 'busy'}});
+		expect(fixture.clock.readNow() - start).toBeLessThanOrEqual(150);
+		expect(fixture.seen).toEqual([]);
+	});
+
+	test('a read that may use the primary asks for no position', async () => {
+		const fixture = createTestServices(createRoute('bounded_staleness'));
+		expect(await startSession(fixture)(READ)).toMatchObject({kind: 'answer', database: 'db-1'});
+		expect(fixture.positionRequests).toBe(0);
+	});
+
 	test('a read is refused at once when no database of the group is permitted', async () => {
 		const fixture = createTestServices(createRoute('bounded_staleness'));
 		['db-1', 'db-2', 'db-3'].forEach(id => {
--- a/packages/heatherpond-session/src/session-services.ts
+++ b/packages/heatherpond-session/src/session-services.ts
@@ -35,6 +35,8 @@
 	readonly readTerm: (group: string) => number | undefined;
 	/** Waits until the result of `findPrimary` or `isConfirmed` may have changed, or until the deadline. */
 	readonly waitForChange: (deadline: Deadline, signal: AbortSignal) => Promise<void>;
+	/** Asks the primary of the group for its log position; resolves when it is known, or cannot be known by the deadline. */
+	readonly requestPosition: (group: string, deadline: Deadline) => Promise<void>;
 	/** Registers a write or transaction in flight on a primary; the returned function ends the registration. */
 	readonly registerWork: (primary: Primary) => () => void;
 };
--- a/packages/heatherpond-session/src/statement-target.ts
+++ b/packages/heatherpond-session/src/statement-target.ts
@@ -61,6 +61,13 @@
 		}
 
 		checkPlaces(services, query);
+		if (isPositionRequired(services, query)) {
+			await services.primacy.requestPosition(running.route.group, waitDeadline);
+			if (findTarget(services, query)) {
+				continue;
+			}
+		}
+
 		if (signal.aborted || services.clock.readNow() >= waitDeadline) {
 			throw createRefusedError(createRefusal('busy', running.lastFailureReason || 'the group has no proven primary', computeSpreadRetry(NO_PRIMARY_RETRY_AFTER_MS, services.random)));
 		}
@@ -85,6 +92,12 @@
 	}
 }
 
+/** Whether a position of the primary would let a replica run the statement: the primary must not, though it could tell its position. */
+function isPositionRequired({primacy, upstreams}: SessionServices, {running: {route, homes}, needsPrimary}: TargetQuery): boolean {
+	const primary = needsPrimary ? undefined : primacy.findPrimary(route.group);
+	return primary !== undefined && !upstreams.isPermitted(primary.database, homes);
+}
+
 /** Finds a database that can run the statement now. */
 export function findTarget(services: SessionServices, query: TargetQuery): StatementTarget | undefined {
 	return decideTarget(services, query).target;
