Record evacuations in the store, so that hosts that start afterwards know which databases are cold

Change: the domain leaders write a record of an evacuation when it starts and when it ends, where a group limits cold databases; hosts that start read it with the primaries. An end that is not recorded yet counts as now.

--- a/packages/heatherpond-fleet/src/__tests__/unit/cold-databases.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/cold-databases.test.ts
@@ -98,6 +98,39 @@
 		expect(fleet.hosts.every(host => findBudget(host) === undefined)).toBe(true);
 	});
 
+	test.each([
+		['one host', ['domain-1/host-2']],
+		['all hosts', HOSTS],
+	])('keeps its budget when %s restart right after the evacuation', async (_name, restarted) => {
+		await startFleet();
+		fleet.store.writeRow(CONTRACTS_TABLE, 'evacuate/domain-2', '{}');
+		await advance(fleet.clock, 4000);
+		fleet.store.writeRow(CONTRACTS_TABLE, 'evacuate/domain-2', undefined);
+		await advance(fleet.clock, 1200);
+		restarted.forEach(fleet.killHost);
+		restarted.forEach(name => {
+			fleet.startHost(name, name.split('/')[0]);
+		});
+		await advance(fleet.clock, 1500);
+		const running = fleet.hosts.filter(({isKilled}) => !isKilled);
+		expect(running.map(host => findBudget(host) !== undefined)).toEqual(HOSTS.map(() => true));
+		await advance(fleet.clock, WARM_UP_MS);
+		expect(running.map(host => findBudget(host) !== undefined)).toEqual(HOSTS.map(() => false));
+	});
+
+	test('has a budget on a host that starts before the end of the evacuation is recorded', async () => {
+		await startFleet();
+		fleet.store.writeRow(CONTRACTS_TABLE, 'evacuate/domain-2', '{}');
+		await advance(fleet.clock, 4000);
+		fleet.store.setFaults(({kind}) => kind === 'write' ? 'unavailable' : undefined);
+		fleet.store.writeRow(CONTRACTS_TABLE, 'evacuate/domain-2', undefined);
+		await advance(fleet.clock, 500);
+		fleet.killHost('domain-1/host-2');
+		const started = fleet.startHost('domain-1/host-2', 'domain-1');
+		await advance(fleet.clock, 1500);
+		expect(findBudget(started)).toBeDefined();
+	});
+
 	test('has no budget where the operator states none', async () => {
 		fleet = createTestFleet(HOSTS, {databaseDomains: DOMAINS});
 		await advance(fleet.clock, STARTUP_MS);
--- a/packages/heatherpond-fleet/src/apply-fleet-update.ts
+++ b/packages/heatherpond-fleet/src/apply-fleet-update.ts
@@ -1,7 +1,7 @@
 /** Applies updates of the fleet table, from the store or from other hosts, to the fleet state. */
 import type {Instant} from 'heatherpond-core';
 import {
-	CONFIRMATION_PREFIX, confirmationSchema, PROMOTION_LEASE_KEY, promotionLeaseSchema, parseRecord, PRIMACY_PREFIX, primacySchema, SUSPICION_PREFIX, suspicionSchema,
+	CONFIRMATION_PREFIX, confirmationSchema, EVACUATION_PREFIX, evacuationRecordSchema, PROMOTION_LEASE_KEY, promotionLeaseSchema, parseRecord, PRIMACY_PREFIX, primacySchema, SUSPICION_PREFIX, suspicionSchema,
 	type ConfirmationRecord, type PrimacyRecord, type SuspicionRecord,
 } from './fleet-records.js';
 import type {FleetState, Versioned} from './fleet-state.js';
@@ -12,7 +12,7 @@
 export function applyFleetUpdate(state: FleetState, {page, isSnapshot, requestedAt, receivedAt}: TableUpdate): FleetState {
 	const start: FleetState = isSnapshot
 		? {
-			...state, primacies: new Map(), duty: undefined, confirmations: new Map(), suspicions: new Map(),
+			...state, primacies: new Map(), duty: undefined, confirmations: new Map(), suspicions: new Map(), evacuationRecords: new Map(),
 		}
 		: state;
 	const changed = page.rows.reduce(applyRow, start);
@@ -24,9 +24,19 @@
 		leaseVerifiedAt: renewLeases(next, requestedAt),
 		ownConfirmations: new Map([...next.ownConfirmations].filter(([group, own]) => next.primacies.get(group)?.record.promotion?.id === own.promotionId)),
 		storeClockOffset: page.storeNow - receivedAt,
+		evacuationEnds: applyRecordedEnds(next, receivedAt, page.storeNow - receivedAt),
 	};
 }
 
+/** Adds the ends of evacuations that this host has only read of; one whose end has not been recorded yet counts as ended now. */
+function applyRecordedEnds({evacuations, evacuationEnds, evacuationRecords}: FleetState, now: Instant, storeClockOffset: number): ReadonlyMap<string, Instant> {
+	const later = [...evacuationRecords.values()]
+		.filter(({domain, endedAt}) => !evacuations.has(domain) && (endedAt !== undefined || !evacuationEnds.has(domain)))
+		.map(({domain, endedAt}) => [domain, endedAt === undefined ? now : endedAt - storeClockOffset] as const)
+		.filter(([domain, endedAt]) => endedAt > (evacuationEnds.get(domain) ?? Number.NEGATIVE_INFINITY));
+	return later.length === 0 ? evacuationEnds : new Map([...evacuationEnds, ...later]);
+}
+
 /** Extends the lease of each primary that has no promotion in progress; a lease starts when the verifying request was sent. */
 function renewLeases(state: FleetState, requestedAt: Instant): ReadonlyMap<string, Instant> {
 	const withoutPromotion = [...state.primacies.values()].filter(({record}) => !record.promotion);
@@ -53,6 +63,11 @@
 		return record && row.version >= (state.duty?.version ?? 0) ? {...state, duty: {record, version: row.version}} : state;
 	}
 
+	if (row.key.startsWith(EVACUATION_PREFIX)) {
+		const record = row.value === undefined ? undefined : parseRecord(evacuationRecordSchema, row.value);
+		return record ? {...state, evacuationRecords: new Map([...state.evacuationRecords, [record.domain, record]])} : state;
+	}
+
 	return applyHostRow(state, row);
 }
 
--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -8,6 +8,7 @@
 import {decideAccess} from './access-decision.js';
 import {findColdLimit, formatColdSubject, isCold} from './cold-databases.js';
 import {createDomainStore} from './domain-leader.js';
+import {startEvacuationRecords} from './evacuation-records.js';
 import {startPromotionConfirmations} from './confirm-promotions.js';
 import type {Contracts} from './contracts.js';
 import type {DatabaseControlPort, PromotionRequestPort} from './database-control-port.js';
@@ -207,6 +208,9 @@
 	startPromotionController({
 		services, minPromotionLeaseMs: options.minPromotionLeaseMs, isPreferred: () => findDomainLeader() === undefined, pollPhase, signal,
 	});
+	startEvacuationRecords({
+		services, isPreferred: () => findDomainLeader() === undefined, pollPhase, signal,
+	});
 	startMaintenance(host, upstreams);
 
 	function readState(): FleetState {
--- a/packages/heatherpond-fleet/src/fleet-records.ts
+++ b/packages/heatherpond-fleet/src/fleet-records.ts
@@ -1,7 +1,7 @@
 /** Schemas and keys of the rows through which hosts coordinate in the store. */
 import * as z from 'zod/mini';
 
-/** Table of primaries, the promotion lease, confirmations and suspicions; every host follows its changes. */
+/** Table of primaries, the promotion lease, confirmations, suspicions and evacuations; every host follows its changes. */
 export const FLEET_TABLE = 'heatherpond-fleet';
 /** Table of the registered hosts; it is read as a whole at long intervals. */
 export const HOSTS_TABLE = 'heatherpond-hosts';
@@ -15,6 +15,9 @@
 /** Prefix of suspicions; `group/host` follows. */
 export const SUSPICION_PREFIX = 'suspected/';
 
+/** Prefix of the record of an evacuated failure domain; its name follows. */
+export const EVACUATION_PREFIX = 'evacuation/';
+
 const promotionSchema = z.object({
 	/** Unique id of the promotion, which confirmations refer to. */
 	id: z.string(),
@@ -74,6 +77,15 @@
 
 export type SuspicionRecord = z.infer<typeof suspicionSchema>;
 
+/** Record that a failure domain has been evacuated; hosts that start later learn from it that its databases may be cold. */
+export const evacuationRecordSchema = z.object({
+	domain: z.string(),
+	/** When the evacuation ended, in milliseconds of the store's clock; absent until it has been recorded. */
+	endedAt: z.optional(z.number()),
+});
+
+export type EvacuationRecord = z.infer<typeof evacuationRecordSchema>;
+
 /** Registration of a host, which entitles it to rely on leases of primaries. */
 export const hostSchema = z.object({
 	host: z.string(),
--- a/packages/heatherpond-fleet/src/fleet-state.ts
+++ b/packages/heatherpond-fleet/src/fleet-state.ts
@@ -3,7 +3,7 @@
 import type {Contracts} from './contracts.js';
 import type {Evacuations} from './evacuations.js';
 import type {
-	PromotionLeaseRecord, HostRecord, PrimacyRecord, SuspicionRecord,
+	EvacuationRecord, PromotionLeaseRecord, HostRecord, PrimacyRecord, SuspicionRecord,
 } from './fleet-records.js';
 import type {Upstream} from './upstream.js';
 
@@ -22,6 +22,8 @@
 	readonly evacuations: Evacuations;
 	/** When this host learned that the evacuation of a failure domain had ended. */
 	readonly evacuationEnds: ReadonlyMap<string, Instant>;
+	/** Records of evacuations, by failure domain. */
+	readonly evacuationRecords: ReadonlyMap<string, EvacuationRecord>;
 	/** Databases by id, as registered. */
 	readonly registrations: ReadonlyMap<string, Upstream>;
 	/** The registered databases, with the evacuations of their failure domains. */
@@ -76,6 +78,7 @@
 	contractsVerifiedAt: Number.NEGATIVE_INFINITY,
 	evacuations: new Map(),
 	evacuationEnds: new Map(),
+	evacuationRecords: new Map(),
 	registrations: new Map(),
 	upstreams: new Map(),
 	upstreamsVerifiedAt: Number.NEGATIVE_INFINITY,
--- a/packages/heatherpond-fleet/src/index.ts
+++ b/packages/heatherpond-fleet/src/index.ts
@@ -15,6 +15,7 @@
 export * from './poll-schedule.js';
 export * from './position-requests.js';
 export * from './promotion-lease.js';
+export * from './evacuation-records.js';
 export * from './evacuations.js';
 export * from './fleet-host.js';
 export * from './fleet-records.js';
