--- a/packages/heatherpond-fleet/src/evacuation-records.ts
+++ b/packages/heatherpond-fleet/src/evacuation-records.ts
@@ -56,14 +56,16 @@
 
 /** Finds the records to write: of evacuations that have started or ended, where cold databases are limited at all. */
 export function findDueRecords(state: FleetState, now: Instant): readonly EvacuationRecord[] {
-	const {contracts, evacuations, evacuationEnds, evacuationRecords, storeClockOffset, primacyVerifiedAt, isStopping} = state;
+	const {contracts, contractsVerifiedAt, evacuations, evacuationEnds, evacuationRecords, storeClockOffset, primacyVerifiedAt, isStopping} = state;
 	const warmUpMs = Math.max(0, ...[...contracts?.groups.values() ?? []].map(group => group.coldPerSecond ? group.warmUpMs ?? 0 : 0));
 	if (warmUpMs === 0 || isStopping || !Number.isFinite(primacyVerifiedAt)) {
 		return [];
 	}
 
 	const started = [...evacuations.keys()].filter(domain => !evacuationRecords.has(domain) || evacuationRecords.get(domain)!.endedAt !== undefined);
+	// A host that reads the records first may not know yet that the evacuation goes on.
 	const ended = [...evacuationEnds]
+		.filter(([, endedAt]) => contractsVerifiedAt >= endedAt)
 		.filter(([domain, endedAt]) => !evacuations.has(domain) && (evacuationRecords.has(domain) || now < endedAt + warmUpMs))
 		.filter(([domain]) => evacuationRecords.get(domain)?.endedAt === undefined);
 	return [
