Demand that an overview does not tell counts as unknown, not as none

Cause: found while reading the diff. An overview names the teams only that its receiver serves. A host that takes over when the leader and both successors have failed took the demand of other teams elsewhere for none, and its share of their limits for nearly all, until the other domains had reported to it. Change: a domain of whose demand for a team only an overview without that team is known counts as unheard, as one without any report does; a team that nobody asks for is named with 0.

--- a/packages/heatherpond-fleet/src/__tests__/unit/domain-digests.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/domain-digests.test.ts
@@ -9,6 +9,9 @@
 const POLL_INTERVAL_MS = 800;
 /** Time after which a host that no longer reports counts as dead, and one interval of reports. */
 const FAILOVER_MS = 2800 + POLL_INTERVAL_MS;
+/** Time before the new leader takes over from which operations are counted, and the window in which the limit counts. */
+const TAKEOVER_MS = 1000;
+const WINDOW_MS = 5000;
 const DOMAIN = Array.from({length: 9}, (_, index) => `domain-1/host-${index + 1}`);
 const HOSTS = [...DOMAIN, 'domain-2/host-1'];
 
@@ -83,7 +86,10 @@
 		fleet.stop();
 	});
 
-	test('let any host take over with the demand of the other domains, after the leader and its successors have failed', async () => {
+	test.each([
+		['has served', true],
+		['has not served', false],
+	])('let a host take over within the limit of a team that it %s, after the leader and its successors have failed', async (_name, hasServed) => {
 		const fleet = createTestFleet(HOSTS);
 		await advance(fleet.clock, 8000);
 		const remote = findHost(fleet, 'domain-2/host-1');
@@ -91,8 +97,13 @@
 			void remote.host.sessions.admission.admit(TEAM);
 		});
 		const next = findHost(fleet, 'domain-1/host-4');
-		void next.host.sessions.admission.admit(TEAM);
-		await advance(fleet.clock, POLL_INTERVAL_MS * 2);
+		if (hasServed) {
+			void next.host.sessions.admission.admit(TEAM);
+		}
+
+		await advance(fleet.clock, POLL_INTERVAL_MS * 2, () => {
+			void remote.host.sessions.admission.admit(TEAM);
+		});
 		['domain-1/host-1', 'domain-1/host-2', 'domain-1/host-3'].forEach(fleet.killHost);
 		// Until the other domain reports to the new leader, its last known demand counts: it presses, this domain does not.
 		let granted = 0;
@@ -100,11 +111,14 @@
 			granted += await host.sessions.admission.admit(TEAM) === 0 ? 1 : 0;
 		}
 
-		await advance(fleet.clock, FAILOVER_MS, () => {
+		await advance(fleet.clock, FAILOVER_MS - TAKEOVER_MS, () => {
+			void remote.host.sessions.admission.admit(TEAM);
+		});
+		await advance(fleet.clock, WINDOW_MS, () => {
 			void countAdmitted(next);
 			void countAdmitted(remote);
 		});
-		const allowed = (TEAM_LIMIT.ratePerSecond * FAILOVER_MS / 1000) + TEAM_LIMIT.burst;
+		const allowed = (TEAM_LIMIT.ratePerSecond * WINDOW_MS / 1000) + TEAM_LIMIT.burst;
 		expect(granted).toBeLessThanOrEqual((allowed * 1.1) + 20);
 		fleet.stop();
 	});
--- a/packages/heatherpond-fleet/src/domain-digests.ts
+++ b/packages/heatherpond-fleet/src/domain-digests.ts
@@ -81,16 +81,20 @@
 			const {usage, members, memberList, remote, successors} = readSharedParts(own);
 			const known = peers.readReports().find(({report}) => report.host === receiver.host)?.report;
 			const digest = {own, memberList, members: known?.memberList === memberList ? undefined : [...members]};
-			// A host that does not lead asks its leader about all teams but those that it serves itself.
-			return known === undefined || successors.has(receiver.host)
-				? {...digest, usage, remote: successors.has(receiver.host) ? undefined : remote}
-				: {...digest, usage: selectTeams(usage, known.teams), remote: {...remote, usage: selectTeams(remote.usage, known.teams)}};
+			if (successors.has(receiver.host)) {
+				return {...digest, usage};
+			}
+
+			// A host asks its leader for operations of teams, so it needs the demand of those only that it serves itself.
+			return known
+				? {...digest, usage: selectTeams(usage, known.teams), remote: {...remote, usage: selectTeams(remote.usage, known.teams)}}
+				: {...digest, usage, remote};
 		},
 		computeDomainUsage,
 	};
 }
 
-/** Selects the usage of some teams, which are the keys of `teams`. */
+/** Selects the usage of some teams, which are the keys of `teams`; a team that nobody asks for has no demand, while one that is left out is unknown. */
 function selectTeams(usage: DomainUsage, teams: Readonly<Record<string, number>>): DomainUsage {
-	return {...usage, teams: Object.fromEntries(Object.keys(teams).filter(team => usage.teams[team] !== undefined).map(team => [team, usage.teams[team]!]))};
+	return {...usage, teams: Object.fromEntries(Object.keys(teams).map(team => [team, usage.teams[team] ?? 0]))};
 }
--- a/packages/heatherpond-fleet/src/remote-domains.ts
+++ b/packages/heatherpond-fleet/src/remote-domains.ts
@@ -32,8 +32,9 @@
 	/** Reads the leaders of the domains that have reported recently. */
 	readonly readLeaders: () => readonly RemoteLeader[];
 	readonly hasReported: (domain: string) => boolean;
-	/** Counts the domains that have reported. */
+	/** Counts the domains that have reported, and those of them of whose demand for a team nothing is known. */
 	readonly countReported: () => number;
+	readonly countUnknownDemands: (team: string) => number;
 	/** Finds the host of each domain that sends its reports, or its first hosts by name while no recent report is known. */
 	readonly findReceivers: (remoteHosts: readonly HostContact[]) => readonly HostContact[];
 	/** Forgets domains that have been silent for long. */
@@ -115,6 +116,10 @@
 		readLeaders,
 		hasReported: domain => reports.has(domain) || received?.overview.leaders.some(leader => leader.domain === domain) === true,
 		countReported: () => readKnownLeaders().length,
+		countUnknownDemands(team) {
+			const overview = readOverview()?.overview;
+			return overview && overview.usage.teams[team] === undefined ? overview.leaders.filter(({domain}) => !reports.has(domain)).length : 0;
+		},
 		findReceivers(remoteHosts) {
 			const leaders = readLeaders();
 			return [...new Set(remoteHosts.map(({domain}) => domain))].flatMap(domain => {
--- a/packages/heatherpond-fleet/src/usage-exchange.ts
+++ b/packages/heatherpond-fleet/src/usage-exchange.ts
@@ -277,10 +277,11 @@
 		const liveDomainHosts = countLivePeers() + 1;
 		const otherDomains = clock.readNow() < startedAt + DOMAIN_START_MS ? domains : registered.map(({domain}) => domain);
 		const unreportedDomains = new Set(otherDomains.filter(domain => domain !== identity.domain && !remoteDomains.hasReported(domain)));
+		const unknownDemands = remoteDomains.countUnknownDemands(team);
 		const trusted = readTrustedDigest();
 		return {
 			otherDomains: {
-				demandPerSecond: countTeamDemand(remoteDomains.readUsages(), team), heard: remoteDomains.countReported(), unheard: unreportedDomains.size, coveredFraction: liveDomainHosts / Math.max(liveDomainHosts, peerCount + 1),
+				demandPerSecond: countTeamDemand(remoteDomains.readUsages(), team), heard: remoteDomains.countReported() - unknownDemands, unheard: unreportedDomains.size + unknownDemands, coveredFraction: liveDomainHosts / Math.max(liveDomainHosts, peerCount + 1),
 			},
 			domainPeersPerSecond: trusted
 				? Math.max(0, countTeamDemand([trusted.digest.usage], team) - countTeamDemand([ownReports.readLastUsage()], team))
