--- a/review/standin/run-case.js
+++ b/review/standin/run-case.js
@@ -16,26 +16,31 @@
 	const record = createRecord(path.join(folder, 'record.txt'));
 	const isTroubled = process.env.TROUBLE !== '0';
 	const teardowns = [];
-	let outcome = 'failed';
+
+	async function endCase({outcome, text}) {
+		record.write(`${outcome}: ${text}`);
+		console.log(`${outcome}: ${text}`);
+		for (const teardown of teardowns.toReversed()) {
+			await teardown();
+		}
+
+		record.save();
+		// Sockets of clients that nobody waits for would keep the process alive.
+		process.exit(EXIT_CODES[outcome]); // eslint-disable-line unicorn/no-process-exit
+	}
+
+	['SIGTERM', 'SIGINT'].forEach(signal => {
+		process.once(signal, async () => {
+			await endCase({outcome: 'failed', text: `ended by ${signal}`});
+		});
+	});
 	try {
-		const result = await runSteps({
+		await endCase(await runSteps({
 			record, isTroubled, defer(teardown) {
 				teardowns.push(teardown);
 			},
-		});
-		({outcome} = result);
-		record.write(`${outcome}: ${result.text}`);
-		console.log(`${outcome}: ${result.text}`);
+		}));
 	} catch (error) {
-		record.write(`the case could not run: ${error.stack}`);
-		console.log(`the case could not run: ${error.message}`);
-	}
-
-	for (const teardown of teardowns.toReversed()) {
-		await teardown();
+		await endCase({outcome: 'failed', text: `the case could not run: ${error.stack}`});
 	}
-
-	record.save();
-	// Sockets of clients that nobody waits for would keep the process alive.
-	process.exit(EXIT_CODES[outcome]); // eslint-disable-line unicorn/no-process-exit
 }
--- a/review/standin/statements.js
+++ b/review/standin/statements.js
@@ -28,8 +28,9 @@
 			return;
 		}
 
-		if (access !== 'COMMIT' && known.access && known.access !== access) {
-			recordBroken('UNASKED', `${database} ran ${text}, but the client sent ${known.text}`);
+		// The name of a prepared statement may be changed on the way, nothing else.
+		if (known.access !== access || (!text.startsWith('EXECUTE ') && known.text !== text)) {
+			recordBroken('UNASKED', `${database} ran ${JSON.stringify(text)} (${id}), but ${known.session} sent ${JSON.stringify(known.text)}`);
 		}
 
 		if (known.transaction !== undefined && transaction === undefined) {
