--- a/packages/heatherpond-session/src/pooled-handle.ts
+++ b/packages/heatherpond-session/src/pooled-handle.ts
@@ -85,6 +85,13 @@
 		return answers.find(({outcome}) => outcome.kind === 'error');
 	}
 
+	/** Logs that the database lacks a statement that was prepared on this connection. */
+	function recordUnknownStatement(command: UpstreamCommand, {outcome}: UpstreamResponse): void {
+		if (command.kind === 'execute' && outcome.kind === 'error' && outcome.code === 'unknown_statement') {
+			writeEvent('prepared_statement_unknown', {database: upstream.database, request: command.id, name: command.name});
+		}
+	}
+
 	function stopUse(isClean: boolean): void {
 		handleEnd();
 		if (isClean) {
@@ -121,6 +128,7 @@
 			checkInUse();
 			const sentAt = clock.readNow();
 			const [answer] = await exchange([step.command], step.deadline);
+			recordUnknownStatement(step.command, answer!);
 			return {kind: 'answered', answer: answer!, timing: {ranMs: clock.readNow() - sentAt}} satisfies StepResult;
 		},
 		release() {
