Give prepared statements names of the connection's own on databases

Cause: the name on the databases was the access and the shape, as the client had written it. The shape is the last field of its line and may hold blanks; a name is followed by other fields and ends at the first blank. EXECUTE rq20 READ qxjjgdpm a2 is what a host made of EXECUTE s4 a2, and PREPARE wq0 WRITE wt WRITE q0 WRITE wt gave the name of another client's statement a new shape.

Now the connection numbers its statements and keeps the numbers by access and shape, in memory only, so nothing that a client wrote is part of a name. A number that was sent is not used again, even if its PREPARE failed. Hosts that send a step through a relay do not name the statement any more: the name is known where the connection is.

--- a/packages/heatherpond-fleet/src/relay-messages.ts
+++ b/packages/heatherpond-fleet/src/relay-messages.ts
@@ -18,7 +18,7 @@
 		kind: z.literal('forward'), id: z.string(), text: z.string(), after: z.optional(pointSchema),
 	}),
 	z.object({
-		kind: z.literal('execute'), id: z.string(), name: z.string(), arguments: z.string(), after: z.optional(pointSchema),
+		kind: z.literal('execute'), id: z.string(), arguments: z.string(), after: z.optional(pointSchema),
 	}),
 ]);
 
@@ -120,12 +120,8 @@
 	}
 }
 
-/** Encodes a step for a relay; throws for commands that only a connection pool sends. */
+/** Encodes a step for a relay. */
 export function encodeStep({needs, begin, command, isSentOnce, isLast, primary, deadline}: ConnectionStep, clock: Clock): EncodedStep {
-	if (command && command.kind !== 'forward' && command.kind !== 'execute') {
-		throw new TypeError(`command cannot be sent through a relay: ${command.kind}`);
-	}
-
 	return {
 		needs: needs && {variables: new Map(needs.variables), statement: needs.statement}, begin, command, isSentOnce, isLast, primary, remainingMs: Math.round(deadline - clock.readNow()),
 	};
--- a/packages/heatherpond-session/src/connection-handle.ts
+++ b/packages/heatherpond-session/src/connection-handle.ts
@@ -8,13 +8,19 @@
 import type {Primary} from './session-services.js';
 import type {UpstreamResponse, UpstreamCommand} from './upstream-connection.js';
 
+/** A client's statement as one host passes it to another; the name of a prepared statement is known where the connection is. */
+export type StepCommand
+	= | Extract<UpstreamCommand, {readonly kind: 'forward'}>
+	/** Execution of the prepared statement that the step needs. */
+		| Omit<Extract<UpstreamCommand, {readonly kind: 'execute'}>, 'name'>;
+
 /** One step on a connection: connection setup, opening of a transaction, and a command, in this order; each is optional. */
 export type ConnectionStep = {
 	/** State that the connection must have first. */
 	readonly needs?: RequiredConnectionState;
 	/** Opens a transaction; `after` is the log position that the database must have reached. */
 	readonly begin?: {readonly isReadOnly: boolean; readonly after?: LogPosition};
-	readonly command?: UpstreamCommand;
+	readonly command?: StepCommand;
 	/** Whether the command cannot be retried, so that a connection that has been idle is checked before it is sent. */
 	readonly isSentOnce: boolean;
 	/** Whether the connection can be released once a response reports that no transaction is open. */
--- a/packages/heatherpond-session/src/connection-setup.ts
+++ b/packages/heatherpond-session/src/connection-setup.ts
@@ -1,4 +1,6 @@
 /** Synchronizes session variables and prepared statements of a pooled connection with those of the client session that uses it. */
+import {checkInvariant} from 'heatherpond-core';
+import type {StepCommand} from './connection-handle.js';
 import type {PooledConnection} from './pooled-handle.js';
 import type {StatementAccess} from './statement.js';
 import type {UpstreamCommand} from './upstream-connection.js';
@@ -6,9 +8,9 @@
 /** A statement that a client has prepared; `shape` is its text with placeholders for the arguments. */
 export type PreparedStatement = {readonly access: StatementAccess; readonly shape: string};
 
-/** Derives the name of a prepared statement upstream from its access and shape, so that all sessions share it. */
-export function formatUpstreamName({access, shape}: PreparedStatement): string {
-	return `${access === 'read' ? 'r' : 'w'}${shape}`;
+/** Formats what identifies a prepared statement. It holds what a client wrote, so it is never sent as a name. */
+export function formatStatementKey({access, shape}: PreparedStatement): string {
+	return `${access} ${shape}`;
 }
 
 /** State that a connection must have before a session's statement is sent on it. */
@@ -26,19 +28,41 @@
 	const mustReset = needs.needsLivenessCheck === true || [...connection.variables.keys()].some(name => !needs.variables.has(name));
 	const missing = [...needs.variables].filter(([name, value]) => mustReset || connection.variables.get(name) !== value);
 	const {statement} = needs;
-	const name = statement ? formatUpstreamName(statement) : undefined;
-	const mustPrepare = name !== undefined && (mustReset || !connection.statements.has(name));
+	const mustPrepare = statement !== undefined && (mustReset || !connection.statements.has(formatStatementKey(statement)));
 	return [
 		...(mustReset ? [{kind: 'reset'} as const] : []),
 		...missing.map(([variable, value]) => ({kind: 'set', name: variable, value}) as const),
 		...(mustPrepare
 			? [{
-				kind: 'prepare', name, access: statement!.access, shape: statement!.shape,
+				kind: 'prepare', name: formatNextName(connection), access: statement.access, shape: statement.shape,
 			} as const]
 			: []),
 	];
 }
 
+/** Formats the name for the next statement prepared on a connection. It is unique there and holds nothing that a client chose. */
+function formatNextName({preparedCount}: PooledConnection): string {
+	return `p${preparedCount + 1}`;
+}
+
+/** Records that setup commands are about to be sent: a name that was sent once may be in use, whatever becomes of its command. */
+export function recordSentCommands(connection: PooledConnection, commands: readonly UpstreamCommand[]): void {
+	connection.preparedCount += commands.filter(({kind}) => kind === 'prepare').length;
+}
+
+/**
+ * Creates the command of a step as the database gets it; a prepared statement must have been prepared on the connection.
+ */
+export function createConnectionCommand(connection: PooledConnection, command: StepCommand, statement: PreparedStatement | undefined): UpstreamCommand {
+	if (command.kind === 'forward') {
+		return command;
+	}
+
+	const name = statement && connection.statements.get(formatStatementKey(statement));
+	checkInvariant(name !== undefined, 'statement_not_prepared', `request ${command.id} executes a statement that its connection does not have`);
+	return {...command, name};
+}
+
 /** Updates the recorded state of a connection with commands that the database has completed. */
 export function applySetupCommands(connection: PooledConnection, commands: readonly UpstreamCommand[]): void {
 	commands.forEach(command => {
@@ -55,7 +79,7 @@
 			}
 
 			case 'prepare': {
-				connection.statements.add(command.name);
+				connection.statements.set(formatStatementKey(command), command.name);
 				break;
 			}
 
--- a/packages/heatherpond-session/src/pooled-handle.ts
+++ b/packages/heatherpond-session/src/pooled-handle.ts
@@ -3,7 +3,9 @@
  * change hands: only after the database itself has reported that no transaction is open on it.
  */
 import type {Clock, Deadline, Instant} from 'heatherpond-core';
-import {applySetupCommands, collectSetupCommands} from './connection-setup.js';
+import {
+	applySetupCommands, collectSetupCommands, createConnectionCommand, recordSentCommands,
+} from './connection-setup.js';
 import type {ConnectionHandle, StepResult, ConnectionStep} from './connection-handle.js';
 import {createUpstreamError, UpstreamError} from './session-error.js';
 import type {WriteEvent} from './session-services.js';
@@ -14,8 +16,10 @@
 export type PooledConnection = {
 	readonly upstream: UpstreamConnection;
 	readonly variables: Map<string, string>;
-	/** Names, as the database knows them, of the prepared statements. */
-	readonly statements: Set<string>;
+	/** Names of the prepared statements, by `formatStatementKey`. */
+	readonly statements: Map<string, string>;
+	/** Number of statements that have been prepared on the connection, or may have been. */
+	preparedCount: number;
 	/** When the connection last became idle. */
 	idleSince: Instant;
 };
@@ -78,6 +82,7 @@
 		}
 
 		checkInUse();
+		recordSentCommands(connection, commands);
 		const answers = await exchange(commands, Math.min(step.deadline, clock.readNow() + SETUP_TIMEOUT_MS)).catch((error: unknown) => {
 			throw createUnsentError(error);
 		});
@@ -127,8 +132,9 @@
 
 			checkInUse();
 			const sentAt = clock.readNow();
-			const [answer] = await exchange([step.command], step.deadline);
-			recordUnknownStatement(step.command, answer!);
+			const command = createConnectionCommand(connection, step.command, step.needs?.statement);
+			const [answer] = await exchange([command], step.deadline);
+			recordUnknownStatement(command, answer!);
 			return {kind: 'answered', answer: answer!, timing: {ranMs: clock.readNow() - sentAt}} satisfies StepResult;
 		},
 		release() {
--- a/packages/heatherpond-session/src/running-statement.ts
+++ b/packages/heatherpond-session/src/running-statement.ts
@@ -1,10 +1,10 @@
 /** Execution state of one statement across its attempts. */
 import type {Deadline, Instant, LogPosition} from 'heatherpond-core';
-import {formatUpstreamName, type PreparedStatement} from './connection-setup.js';
+import type {StepCommand} from './connection-handle.js';
+import type {PreparedStatement} from './connection-setup.js';
 import type {Homes} from './homes.js';
 import type {SessionRoute} from './route.js';
 import type {Statement, StatementAccess} from './statement.js';
-import type {UpstreamCommand} from './upstream-connection.js';
 
 /** A statement that is being executed. */
 export type RunningStatement = {
@@ -28,10 +28,10 @@
 };
 
 /** Creates the command that runs a statement on a database that has reached the log position `after`. */
-export function createStatementCommand({statement, prepared, arguments: values}: RunningStatement, after?: LogPosition): UpstreamCommand {
+export function createStatementCommand({statement, prepared, arguments: values}: RunningStatement, after?: LogPosition): StepCommand {
 	return prepared
 		? {
-			kind: 'execute', id: statement.id, name: formatUpstreamName(prepared), arguments: values ?? '', after,
+			kind: 'execute', id: statement.id, arguments: values ?? '', after,
 		}
 		: {
 			kind: 'forward', id: statement.id, text: statement.text, after,
--- a/packages/heatherpond-session/src/upstream-connection.ts
+++ b/packages/heatherpond-session/src/upstream-connection.ts
@@ -6,7 +6,7 @@
 export type UpstreamCommand
 	/** A client statement, sent with its id and text unchanged. */
 	= | {readonly kind: 'forward'; readonly id: string; readonly text: string; readonly after?: LogPosition}
-	/** Execution of a client's prepared statement under its upstream name. */
+	/** Execution of a client's prepared statement under the name that it has on the connection. */
 		| {readonly kind: 'execute'; readonly id: string; readonly name: string; readonly arguments: string; readonly after?: LogPosition}
 		| {readonly kind: 'begin'; readonly isReadOnly: boolean; readonly after?: LogPosition}
 		| {readonly kind: 'rollback'}
