Reset a connection whose session values may have changed in an error

Now a connection on which such a command ended in an error is reset before its next use, and its values are set again. PREPARE needs no reset: a name that was sent is never sent again.

Test: connection-setup.test.ts; four of its six tests failed before (three error codes of SET, one of RESET), all pass now.

--- a/packages/heatherpond-session/src/connection-setup.ts
+++ b/packages/heatherpond-session/src/connection-setup.ts
@@ -3,7 +3,7 @@
 import type {StepCommand} from './connection-handle.js';
 import type {PooledConnection} from './pooled-handle.js';
 import type {StatementAccess} from './statement.js';
-import type {UpstreamCommand} from './upstream-connection.js';
+import {isNotRun, type UpstreamCommand, type UpstreamResponse} from './upstream-connection.js';
 
 /** A statement that a client has prepared; `shape` is its text with placeholders for the arguments. */
 export type PreparedStatement = {readonly access: StatementAccess; readonly shape: string};
@@ -25,7 +25,7 @@
 
 /** Collects the commands that bring a connection into the required state; empty when it is in that state. */
 export function collectSetupCommands(connection: PooledConnection, needs: RequiredConnectionState): readonly UpstreamCommand[] {
-	const mustReset = needs.needsLivenessCheck === true || [...connection.variables.keys()].some(name => !needs.variables.has(name));
+	const mustReset = needs.needsLivenessCheck === true || !connection.isSetupKnown || [...connection.variables.keys()].some(name => !needs.variables.has(name));
 	const missing = [...needs.variables].filter(([name, value]) => mustReset || connection.variables.get(name) !== value);
 	const {statement} = needs;
 	const mustPrepare = statement !== undefined && (mustReset || !connection.statements.has(formatStatementKey(statement)));
@@ -63,31 +63,46 @@
 	return {...command, name};
 }
 
-/** Updates the recorded state of a connection with commands that the database has completed. */
-export function applySetupCommands(connection: PooledConnection, commands: readonly UpstreamCommand[]): void {
-	commands.forEach(command => {
-		switch (command.kind) {
-			case 'reset': {
-				connection.variables.clear();
-				connection.statements.clear();
-				break;
-			}
+/** Updates the recorded state of a connection with the responses to commands, in order. */
+export function applySetupResponses(connection: PooledConnection, commands: readonly UpstreamCommand[], responses: readonly UpstreamResponse[]): void {
+	commands.forEach((command, index) => {
+		const {outcome} = responses[index]!;
+		if (outcome.kind === 'complete') {
+			applyCompletedCommand(connection, command);
+		} else if (hasRecordedEffect(command) && !isNotRun(outcome.code)) {
+			connection.isSetupKnown = false;
+		}
+	});
+}
 
-			case 'set': {
-				connection.variables.set(command.name, command.value);
-				break;
-			}
+/** Whether a command changes what is recorded of a connection even if it was answered with an error; a name that may be taken is not sent again. */
+function hasRecordedEffect({kind}: UpstreamCommand): boolean {
+	return kind === 'set' || kind === 'reset';
+}
 
-			case 'prepare': {
-				connection.statements.set(formatStatementKey(command), command.name);
-				break;
-			}
+function applyCompletedCommand(connection: PooledConnection, command: UpstreamCommand): void {
+	switch (command.kind) {
+		case 'reset': {
+			connection.variables.clear();
+			connection.statements.clear();
+			connection.isSetupKnown = true;
+			break;
+		}
 
-			default: {
-				break;
-			}
+		case 'set': {
+			connection.variables.set(command.name, command.value);
+			break;
 		}
-	});
+
+		case 'prepare': {
+			connection.statements.set(formatStatementKey(command), command.name);
+			break;
+		}
+
+		default: {
+			break;
+		}
+	}
 }
 
 /** Whether a connection has exactly the given session variables. */
--- a/packages/heatherpond-session/src/pooled-handle.ts
+++ b/packages/heatherpond-session/src/pooled-handle.ts
@@ -4,7 +4,7 @@
  */
 import type {Clock, Deadline, Instant} from 'heatherpond-core';
 import {
-	applySetupCommands, collectSetupCommands, createConnectionCommand, recordSentCommands,
+	applySetupResponses, collectSetupCommands, createConnectionCommand, recordSentCommands,
 } from './connection-setup.js';
 import type {ConnectionHandle, StepResult, ConnectionStep} from './connection-handle.js';
 import {createUpstreamError, UpstreamError} from './session-error.js';
@@ -18,6 +18,8 @@
 	readonly variables: Map<string, string>;
 	/** Names of the prepared statements, by `formatStatementKey`. */
 	readonly statements: Map<string, string>;
+	/** Whether variables and statements are as recorded here; if not, the connection is reset before its next use. */
+	isSetupKnown: boolean;
 	/** Number of statements that have been prepared on the connection, or may have been. */
 	preparedCount: number;
 	/** When the connection last became idle. */
@@ -86,7 +88,7 @@
 		const answers = await exchange(commands, Math.min(step.deadline, clock.readNow() + SETUP_TIMEOUT_MS)).catch((error: unknown) => {
 			throw createUnsentError(error);
 		});
-		applySetupCommands(connection, commands.filter((_, index) => answers[index]!.outcome.kind === 'complete'));
+		applySetupResponses(connection, commands, answers);
 		return answers.find(({outcome}) => outcome.kind === 'error');
 	}
 
