Set a connection up anew when its database lacks a prepared statement

A connection whose database does not know a statement that the host believes to be prepared kept that belief: every execution of it there was answered with NOSTMT and retried, for as long as the connection lived. Now it is reset before its next use.

Test: connection-setup.test.ts, "is set up anew", failed before (execute was sent again at once), passes now.

--- a/packages/heatherpond-session/src/__tests__/unit/connection-setup.test.ts
+++ b/packages/heatherpond-session/src/__tests__/unit/connection-setup.test.ts
@@ -80,3 +80,15 @@
 		expect(readKinds(fixture)).toEqual(['prepare', 'prepare', 'execute']);
 	});
 });
+
+describe('a connection whose database lacks a statement that was prepared on it', () => {
+	// Guards against a connection on which a prepared statement stays unknown for as long as it lives.
+	test('is set up anew', async () => {
+		const fixture = createTestServices();
+		const run = startSession(fixture);
+		failFirst(fixture, 'execute', 'unknown_statement');
+		await run(PREPARE);
+		expect(await run(EXECUTE)).toMatchObject({kind: 'answer', isError: false});
+		expect(readKinds(fixture)).toEqual(['prepare', 'execute', 'reset', 'prepare', 'execute']);
+	});
+});
--- a/packages/heatherpond-session/src/pooled-handle.ts
+++ b/packages/heatherpond-session/src/pooled-handle.ts
@@ -92,9 +92,10 @@
 		return answers.find(({outcome}) => outcome.kind === 'error');
 	}
 
-	/** Logs that the database lacks a statement that was prepared on this connection. */
+	/** Records that the database lacks a statement that was prepared on this connection. */
 	function recordUnknownStatement(command: UpstreamCommand, {outcome}: UpstreamResponse): void {
 		if (command.kind === 'execute' && outcome.kind === 'error' && outcome.code === 'unknown_statement') {
+			connection.isSetupKnown = false;
 			writeEvent('prepared_statement_unknown', {database: upstream.database, request: command.id, name: command.name});
 		}
 	}
