Reset a connection on which many or long statements have been prepared

Nothing was ever removed from what a connection has prepared: the host kept each shape, and the database each name, for as long as the connection lived, so a client with ever new shapes made both grow without a bound.

Now a connection that holds 100 statements, or 16,384 characters of them, is reset before it prepares another one; inside a transaction it is not.

Test: connection-setup.test.ts, "is reset before further ones are prepared", failed before (no reset in 250 shapes), passes now.

--- a/packages/heatherpond-session/src/__tests__/unit/connection-setup.test.ts
+++ b/packages/heatherpond-session/src/__tests__/unit/connection-setup.test.ts
@@ -92,3 +92,36 @@
 		expect(readKinds(fixture)).toEqual(['prepare', 'execute', 'reset', 'prepare', 'execute']);
 	});
 });
+
+/** Prepares a shape and executes it. */
+async function executeShape(run: (action: StatementAction) => Promise<SessionReply>, shape: string): Promise<void> {
+	await run({...PREPARE, shape});
+	await run(EXECUTE);
+}
+
+describe('a connection on which many or long statements have been prepared', () => {
+	// Guards against databases and hosts that keep every statement that was ever prepared.
+	test('is reset before further ones are prepared', async () => {
+		const fixture = createTestServices();
+		const run = startSession(fixture);
+		for (const index of Array.from({length: 250}).keys()) {
+			await executeShape(run, `shape ${index}`);
+		}
+
+		expect(readKinds(fixture).filter(kind => kind === 'reset')).toHaveLength(2);
+		await executeShape(run, 'x'.repeat(10_000));
+		await executeShape(run, 'y'.repeat(10_000));
+		expect(readKinds(fixture).slice(-3)).toEqual(['reset', 'prepare', 'execute']);
+	});
+
+	test('is not reset inside a transaction', async () => {
+		const fixture = createTestServices();
+		const run = startSession(fixture);
+		await run({kind: 'begin', isReadOnly: false});
+		for (const index of Array.from({length: 150}).keys()) {
+			await executeShape(run, `shape ${index}`);
+		}
+
+		expect(readKinds(fixture)).not.toContain('reset');
+	});
+});
--- a/packages/heatherpond-session/src/connection-pool.ts
+++ b/packages/heatherpond-session/src/connection-pool.ts
@@ -132,7 +132,7 @@
 		updateOpening(team, 1);
 		try {
 			const connection: PooledConnection = {
-				upstream: await open(team), variables: new Map(), statements: new Map(), isSetupKnown: true, preparedCount: 0, idleSince: clock.readNow(),
+				upstream: await open(team), variables: new Map(), statements: new Map(), statementLength: 0, isSetupKnown: true, preparedCount: 0, idleSince: clock.readNow(),
 			};
 			updateOpening(team, -1);
 			connection.upstream.registerCloseListener(() => {
--- a/packages/heatherpond-session/src/connection-setup.ts
+++ b/packages/heatherpond-session/src/connection-setup.ts
@@ -21,11 +21,18 @@
 	readonly statement?: PreparedStatement;
 	/** Whether to reset the connection in any case, to verify that it is alive before sending a command that cannot be retried. */
 	readonly needsLivenessCheck?: boolean;
+	/** Whether a transaction is open, in which a reset has to wait. */
+	readonly isInTransaction?: boolean;
 };
 
+/** Number of statements that are prepared on a connection before it is reset. */
+const MAX_CONNECTION_STATEMENTS = 100;
+/** Length of the statements that are prepared on a connection before it is reset, in characters. */
+const MAX_CONNECTION_STATEMENT_LENGTH = 16_384;
+
 /** Collects the commands that bring a connection into the required state; empty when it is in that state. */
 export function collectSetupCommands(connection: PooledConnection, needs: RequiredConnectionState): readonly UpstreamCommand[] {
-	const mustReset = needs.needsLivenessCheck === true || !connection.isSetupKnown || [...connection.variables.keys()].some(name => !needs.variables.has(name));
+	const mustReset = isResetRequired(connection, needs);
 	const missing = [...needs.variables].filter(([name, value]) => mustReset || connection.variables.get(name) !== value);
 	const {statement} = needs;
 	const mustPrepare = statement !== undefined && (mustReset || !connection.statements.has(formatStatementKey(statement)));
@@ -40,6 +47,20 @@
 	];
 }
 
+function isResetRequired(connection: PooledConnection, needs: RequiredConnectionState): boolean {
+	const hasForeignVariable = [...connection.variables.keys()].some(name => !needs.variables.has(name));
+	return [needs.needsLivenessCheck === true, !connection.isSetupKnown, hasForeignVariable, hasTooManyStatements(connection, needs)].includes(true);
+}
+
+/** Whether a statement has to be prepared on a connection that has no room for another one. */
+function hasTooManyStatements({statements, statementLength}: PooledConnection, {statement, isInTransaction = false}: RequiredConnectionState): boolean {
+	if (!statement || isInTransaction || statements.size === 0 || statements.has(formatStatementKey(statement))) {
+		return false;
+	}
+
+	return statements.size >= MAX_CONNECTION_STATEMENTS || statementLength + statement.shape.length > MAX_CONNECTION_STATEMENT_LENGTH;
+}
+
 /** Formats the name for the next statement prepared on a connection. It is unique there and holds nothing that a client chose. */
 function formatNextName({preparedCount}: PooledConnection): string {
 	return `p${preparedCount + 1}`;
@@ -85,6 +106,7 @@
 		case 'reset': {
 			connection.variables.clear();
 			connection.statements.clear();
+			connection.statementLength = 0;
 			connection.isSetupKnown = true;
 			break;
 		}
@@ -96,6 +118,7 @@
 
 		case 'prepare': {
 			connection.statements.set(formatStatementKey(command), command.name);
+			connection.statementLength += command.shape.length;
 			break;
 		}
 
--- a/packages/heatherpond-session/src/pooled-handle.ts
+++ b/packages/heatherpond-session/src/pooled-handle.ts
@@ -18,6 +18,8 @@
 	readonly variables: Map<string, string>;
 	/** Names of the prepared statements, by `formatStatementKey`. */
 	readonly statements: Map<string, string>;
+	/** Length of the shapes of the prepared statements, in characters. */
+	statementLength: number;
 	/** Whether variables and statements are as recorded here; if not, the connection is reset before its next use. */
 	isSetupKnown: boolean;
 	/** Number of statements that have been prepared on the connection, or may have been. */
@@ -78,7 +80,7 @@
 
 	/** Runs the setup commands of a step and opens its transaction; returns the first error response, if any. */
 	async function runSetup(step: ConnectionStep): Promise<UpstreamResponse | undefined> {
-		const commands = collectStepCommands(connection, step, clock.readNow());
+		const commands = collectStepCommands(connection, step, {now: clock.readNow(), isInTransaction: state !== 'idle'});
 		if (commands.length === 0) {
 			return undefined;
 		}
@@ -155,10 +157,10 @@
 	};
 }
 
-function collectStepCommands(connection: PooledConnection, {needs, begin, isSentOnce}: ConnectionStep, now: Instant): readonly UpstreamCommand[] {
+function collectStepCommands(connection: PooledConnection, {needs, begin, isSentOnce}: ConnectionStep, {now, isInTransaction}: {readonly now: Instant; readonly isInTransaction: boolean}): readonly UpstreamCommand[] {
 	const needsLivenessCheck = isSentOnce && now - connection.idleSince > LIVENESS_CHECK_IDLE_MS;
 	return [
-		...(needs ? collectSetupCommands(connection, {...needs, needsLivenessCheck}) : []),
+		...(needs ? collectSetupCommands(connection, {...needs, needsLivenessCheck, isInTransaction}) : []),
 		...(begin ? [{kind: 'begin', ...begin} as const] : []),
 	];
 }
