Bound the memory that sessions take for variables and prepared statements

A SET or PREPARE without room is refused at once with BUSY; room is given back when a name is replaced or dropped and when the session ends.

--- a/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
+++ b/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
@@ -237,6 +237,7 @@
 			datagrams: createFaultyDatagrams(name, testHost),
 			links: links.createPort(name),
 			memory: createMessageMemory(Number.POSITIVE_INFINITY),
+			sessionMemory: createMessageMemory(Number.POSITIVE_INFINITY),
 			seeds: seeds.map(address => ({address, port: 1})),
 			async openConnection() {
 				throw new Error('the fake databases accept no connections');
--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -53,6 +53,8 @@
 	readonly suspension: SuspensionDetector;
 	/** Memory for the messages that are under way. */
 	readonly memory: MessageMemory;
+	/** Memory for the variables and prepared statements of client sessions. */
+	readonly sessionMemory: MessageMemory;
 	readonly store: StorePort;
 	readonly databases: DatabaseControlPort;
 	readonly promotionRequests: PromotionRequestPort;
@@ -236,7 +238,7 @@
 	return {
 		blackboard,
 		sessions: {
-			clock, positions, writeEvent, upstreams: {...upstreams, findBudget}, random, recordStatement: options.recordStatement,
+			clock, positions, writeEvent, upstreams: {...upstreams, findBudget}, random, recordStatement: options.recordStatement, memory: options.sessionMemory,
 			access: {
 				decideAccess(database, key) {
 					const state = readState();
--- a/packages/heatherpond-session/src/__tests__/support/test-services.ts
+++ b/packages/heatherpond-session/src/__tests__/support/test-services.ts
@@ -1,7 +1,7 @@
 /** Session services backed by fake databases whose responses are scripted. */
 import {createFakeClock, type FakeClock} from 'heatherpond-core';
 import {
-	acquireQueuedHandle, createConnectionPool, createPositionTracker, createStatementQueue, createUpstreamError, type ConnectionPool, type PositionTracker, type Primary, type SessionRoute, type SessionServices,
+	acquireQueuedHandle, createConnectionPool, createMessageMemory, createPositionTracker, createStatementQueue, createUpstreamError, type ConnectionPool, type PositionTracker, type Primary, type SessionRoute, type SessionServices,
 	type Statement, type StatementAction, type StatementObservation, type UpstreamResponse, type UpstreamCommand, type UpstreamConnection, type UpstreamErrorCode,
 } from '../../index.js';
 
@@ -55,6 +55,8 @@
 export const DATABASES = ['db-1', 'db-2', 'db-3'];
 const RESPONSE_DELAY_MS = 5;
 const MAX_CONNECTIONS = 4;
+/** Memory for the variables and prepared statements of all sessions. */
+const MEMORY_BYTES = 100_000;
 
 /** Creates a route to the group `g`. */
 export function createRoute(consistency: SessionRoute['consistency'] = 'primary'): SessionRoute {
@@ -219,6 +221,7 @@
 				},
 				recordResponse: () => undefined,
 			},
+			memory: createMessageMemory(MEMORY_BYTES),
 			admission: {admit: async () => test.admissionDelayMs},
 			writeEvent(event) {
 				test.events.push(event);
--- a/packages/heatherpond-session/src/client-session.ts
+++ b/packages/heatherpond-session/src/client-session.ts
@@ -40,7 +40,7 @@
 /** Creates the session of a client that has just connected. */
 export function createClientSession(caller: SessionClient, services: SessionServices): ClientSession {
 	const session: SessionContext = {
-		caller, services, state: createSessionState(), abortController: new AbortController(),
+		caller, services, state: createSessionState(services.memory), abortController: new AbortController(),
 	};
 	return {
 		async run(statement, arrivedAt) {
@@ -58,6 +58,7 @@
 			session.stopIdleTimer?.();
 			session.abortController.abort();
 			failTransaction(session, 'session ended');
+			session.state.room.end();
 		},
 	};
 }
--- a/packages/heatherpond-session/src/session-services.ts
+++ b/packages/heatherpond-session/src/session-services.ts
@@ -5,6 +5,7 @@
 import type {ConnectionHandle, ConnectionRequest, StepTiming} from './connection-handle.js';
 import type {StatementOutcome} from './failure-share.js';
 import type {Homes} from './homes.js';
+import type {MessageMemory} from './message-memory.js';
 import type {PositionTracker} from './position-tracker.js';
 import type {SessionRoute} from './route.js';
 import type {UpstreamCandidate} from './upstream-selection.js';
@@ -103,6 +104,8 @@
 	readonly upstreams: UpstreamsPort;
 	readonly admission: AdmissionPort;
 	readonly positions: PositionTracker;
+	/** Memory for the variables and prepared statements of all sessions. */
+	readonly memory: MessageMemory;
 	readonly writeEvent: WriteEvent;
 	readonly recordStatement: (observation: StatementObservation) => void;
 	/** Returns a random number from 0, inclusive, to 1, exclusive. */
--- a/packages/heatherpond-session/src/session-state.ts
+++ b/packages/heatherpond-session/src/session-state.ts
@@ -2,6 +2,7 @@
 import type {Instant, LogPosition} from 'heatherpond-core';
 import type {PreparedStatement} from './connection-setup.js';
 import type {ConnectionHandle} from './connection-handle.js';
+import {createConnectionMemory, type ConnectionMemory, type MessageMemory} from './message-memory.js';
 import {createRefusal, type Refusal} from './refusal.js';
 import type {Primary} from './session-services.js';
 import type {Statement, StatementAccess, TransactionState} from './statement.js';
@@ -33,12 +34,18 @@
 	phase: SessionPhase;
 	readonly variables: Map<string, string>;
 	readonly statements: Map<string, PreparedStatement>;
+	/** Room for the variables and statements. */
+	readonly room: ConnectionMemory;
+	/** Length of the variables and statements, with their names. */
+	heldLength: number;
 	/** Log position of the session's newest commit. */
 	lastCommitPosition?: LogPosition;
 };
 
-export function createSessionState(): SessionState {
-	return {phase: {kind: 'idle'}, variables: new Map(), statements: new Map()};
+export function createSessionState(memory: MessageMemory): SessionState {
+	return {
+		phase: {kind: 'idle'}, variables: new Map(), statements: new Map(), room: createConnectionMemory(memory), heldLength: 0,
+	};
 }
 
 const TRANSACTION_STATES: Readonly<Record<SessionPhase['kind'], TransactionState>> = {
@@ -97,16 +104,27 @@
 		}
 
 		case 'set': {
+			const held = state.variables.get(action.name);
+			if (!reserveRoom(state, countLength(action.name, action.value) - countLength(action.name, held))) {
+				return refuseForMemory();
+			}
+
 			state.variables.set(action.name, action.value);
 			return {kind: 'variable', name: action.name, value: action.value};
 		}
 
 		case 'prepare': {
+			const held = state.statements.get(action.name)?.shape;
+			if (!reserveRoom(state, countLength(action.name, action.shape) - countLength(action.name, held))) {
+				return refuseForMemory();
+			}
+
 			state.statements.set(action.name, {access: action.access, shape: action.shape});
 			return {kind: 'done'};
 		}
 
 		case 'deallocate': {
+			reserveRoom(state, -countLength(action.name, state.statements.get(action.name)?.shape));
 			state.statements.delete(action.name);
 			return {kind: 'done'};
 		}
@@ -121,6 +139,22 @@
 	}
 }
 
+/** Counts the characters of a named text; none when there is no such text. */
+function countLength(name: string, text: string | undefined): number {
+	return text === undefined ? 0 : name.length + text.length;
+}
+
+/** Takes room for so many more characters of variables and statements, or gives it back; returns whether there is any. */
+function reserveRoom(state: SessionState, change: number): boolean {
+	const hasRoom = state.room.update(state.heldLength + change);
+	state.heldLength += hasRoom ? change : 0;
+	return hasRoom;
+}
+
+function refuseForMemory(): StatementPlan {
+	return {kind: 'refused', refusal: createRefusal('busy', 'variables and prepared statements of sessions take up all memory for them')};
+}
+
 function refuseMalformed(reason: string): StatementPlan {
 	return {kind: 'refused', refusal: createRefusal('malformed', reason)};
 }
