--- a/packages/heatherpond-session/src/__tests__/unit/connection-setup.test.ts
+++ b/packages/heatherpond-session/src/__tests__/unit/connection-setup.test.ts
@@ -8,7 +8,7 @@
 } from '../support/test-services.js';
 
 const READ: StatementAction = {kind: 'data', access: 'read'};
-const PREPARE: StatementAction = {
+const PREPARE: Extract<StatementAction, {readonly kind: 'prepare'}> = {
 	kind: 'prepare', name: 's1', access: 'read', shape: 'q2c',
 };
 const EXECUTE: StatementAction = {kind: 'execute', name: 's1', arguments: '1a4'};
