Keep the acknowledged value of a variable when a change to it is refused

Now the session takes back the value that it had before.

Test: client-session.test.ts, "keep the value that was acknowledged last", failed before (y where x was acknowledged), passes now.

--- a/packages/heatherpond-session/src/__tests__/unit/client-session.test.ts
+++ b/packages/heatherpond-session/src/__tests__/unit/client-session.test.ts
@@ -340,6 +340,21 @@
 		expect(fixture.seen.at(-1)!.command).toEqual({kind: 'set', name: 'zone', value: 'x'});
 	});
 
+	// Guards against statements that run with a value whose SET was refused.
+	test('keep the value that was acknowledged last when a change inside a transaction is refused', async () => {
+		const fixture = createTestServices();
+		const {run} = startSession(fixture);
+		await run({kind: 'set', name: 'zone', value: 'x'});
+		await run(BEGIN);
+		await run(READ);
+		fixture.script = ({command}) => command.kind === 'set' ? {kind: 'error', code: 'failed'} : undefined;
+		expect(await run({kind: 'set', name: 'zone', value: 'y'})).toMatchObject({kind: 'refused', refusal: {code: 'aborted'}});
+		fixture.script = () => undefined;
+		await run({kind: 'rollback'});
+		await run(READ);
+		expect(fixture.seen.flatMap(({command}) => command.kind === 'set' ? [command.value] : [])).toEqual(['x', 'y', 'x']);
+	});
+
 	test('refuse to execute an unknown statement name', async () => {
 		const {run} = startSession(createTestServices());
 		expect(await run({kind: 'execute', name: 'none', arguments: ''})).toMatchObject({kind: 'refused', refusal: {code: 'unknown_statement'}});
--- a/packages/heatherpond-session/src/client-session.ts
+++ b/packages/heatherpond-session/src/client-session.ts
@@ -148,7 +148,7 @@
 		}
 
 		case 'variable': {
-			return applySessionVariable(session, access.route.timeoutMs);
+			return applySessionVariable(session, plan, access.route.timeoutMs);
 		}
 
 		case 'commit':
--- a/packages/heatherpond-session/src/session-state.ts
+++ b/packages/heatherpond-session/src/session-state.ts
@@ -69,7 +69,7 @@
 		| {readonly kind: 'commit'}
 		| {readonly kind: 'rollback'}
 	/** The session variable has been updated, and has to be set on the connection of an open transaction as well. */
-		| {readonly kind: 'variable'; readonly name: string; readonly value: string};
+		| {readonly kind: 'variable'; readonly name: string; readonly previous?: string};
 
 /** Decides how to handle a statement, and updates the session state if no database is needed. */
 export function applyStatement(state: SessionState, {action}: Statement, now: Instant): StatementPlan {
@@ -110,7 +110,7 @@
 			}
 
 			state.variables.set(action.name, action.value);
-			return {kind: 'variable', name: action.name, value: action.value};
+			return {kind: 'variable', name: action.name, previous: held};
 		}
 
 		case 'prepare': {
@@ -139,6 +139,16 @@
 	}
 }
 
+/** Gives a variable the value that it had before a statement that was refused. */
+export function applyPreviousValue(state: SessionState, {name, previous}: Extract<StatementPlan, {readonly kind: 'variable'}>): void {
+	reserveRoom(state, countLength(name, previous) - countLength(name, state.variables.get(name)));
+	if (previous === undefined) {
+		state.variables.delete(name);
+	} else {
+		state.variables.set(name, previous);
+	}
+}
+
 /** Counts the characters of a named text; none when there is no such text. */
 function countLength(name: string, text: string | undefined): number {
 	return text === undefined ? 0 : name.length + text.length;
--- a/packages/heatherpond-session/src/transaction-run.ts
+++ b/packages/heatherpond-session/src/transaction-run.ts
@@ -7,7 +7,7 @@
 import type {SessionReply} from './session-reply.js';
 import type {Primary, SessionServices} from './session-services.js';
 import {
-	readTransactionState, type OpenTransaction, type SessionPhase, type SessionState,
+	applyPreviousValue, readTransactionState, type OpenTransaction, type SessionPhase, type SessionState, type StatementPlan,
 } from './session-state.js';
 import {exchangeInTransaction} from './statement-attempts.js';
 import {exchangeStep, type ExchangeResult} from './statement-exchange.js';
@@ -88,7 +88,7 @@
 }
 
 /** Sets the session variables on the connection of the open transaction, if there is one. */
-export async function applySessionVariable(session: SessionContext, timeoutMs: number): Promise<SessionReply> {
+export async function applySessionVariable(session: SessionContext, plan: Extract<StatementPlan, {readonly kind: 'variable'}>, timeoutMs: number): Promise<SessionReply> {
 	const {state, services} = session;
 	if (state.phase.kind !== 'open') {
 		return createLocalReply(session);
@@ -103,6 +103,7 @@
 		return createLocalReply(session);
 	}
 
+	applyPreviousValue(state, plan);
 	endTransaction(transaction);
 	state.phase = {kind: 'failed'};
 	throw createRefusedError(createRefusal('aborted', 'the transaction was rolled back: a session variable could not be set on its connection'));
