Refuse an execution that names no statement as not sent

A step that executes a prepared statement without naming it, as a host of another version may send it, ended as `closed, sent` at the relay: a write would have been told as in doubt although nothing was sent. Now it is refused as not sent.

Test: relay.test.ts, "is refused without wasSent when it executes a statement that it does not name", failed before, passes now.

--- a/packages/heatherpond-fleet/src/__tests__/unit/relay.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/relay.test.ts
@@ -236,6 +236,14 @@
 	});
 
 	// Guards against a relay that ends at its heap limit because many hosts send it large statements at once.
+	// Guards against a write that is told as in doubt although nothing was sent.
+	test('is refused without wasSent when it executes a statement that it does not name', async () => {
+		const fixture = createFixture();
+		const result = await runStep(fixture, createHandle(fixture), createStep(fixture, '', {command: {kind: 'execute', id: 'id-1', arguments: 'a'}}));
+		expect(result).toMatchObject({failure: 'unsendable', wasSent: false});
+		expect(fixture.sent).toEqual([]);
+	});
+
 	test('is refused by a relay that has no memory for it, while small ones run', async () => {
 		const fixture = createFixture();
 		await runStep(fixture, createHandle(fixture), createStep(fixture, 'WRITE first'));
--- a/packages/heatherpond-session/src/connection-setup.ts
+++ b/packages/heatherpond-session/src/connection-setup.ts
@@ -1,7 +1,7 @@
 /** Synchronizes session variables and prepared statements of a pooled connection with those of the client session that uses it. */
-import {checkInvariant} from 'heatherpond-core';
 import type {StepCommand} from './connection-handle.js';
 import type {PooledConnection} from './pooled-handle.js';
+import {createUpstreamError} from './session-error.js';
 import type {StatementAccess} from './statement.js';
 import {isNotRun, type UpstreamCommand, type UpstreamResponse} from './upstream-connection.js';
 
@@ -72,7 +72,9 @@
 }
 
 /**
- * Creates the command of a step as the database gets it; a prepared statement must have been prepared on the connection.
+ * Creates the command of a step as the database gets it.
+ *
+ * @throws UpstreamError when it executes a statement that the step does not name, as a host of another version may send it
  */
 export function createConnectionCommand(connection: PooledConnection, command: StepCommand, statement: PreparedStatement | undefined): UpstreamCommand {
 	if (command.kind === 'forward') {
@@ -80,7 +82,10 @@
 	}
 
 	const name = statement && connection.statements.get(formatStatementKey(statement));
-	checkInvariant(name !== undefined, 'statement_not_prepared', `request ${command.id} executes a statement that its connection does not have`);
+	if (name === undefined) {
+		throw createUpstreamError(`request ${command.id} executes a statement that its connection does not have`, 'unsendable', false);
+	}
+
 	return {...command, name};
 }
 
