Let a message that is too long for a link fail alone

JSON writes a control character as six, so a statement or response of 1 MiB can be over the 4 MiB at which a link between hosts ended, with the statements of all other clients on it: writes in doubt, transactions rolled back.

Now a link takes 8 MiB, and what is longer is not sent: a step is refused as not sent, a response fails its own statement. The relay counts variables and shapes of a step into the memory for messages as well.

Test: relay.test.ts, "whose message is too long for the link fails alone"; without the checks both were sent.

--- a/packages/heatherpond-fleet/src/__tests__/unit/relay.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/relay.test.ts
@@ -30,6 +30,8 @@
 	/** When the relay last noticed a suspension. */
 	clockValidFrom: number;
 	refuses: (command: UpstreamCommand) => boolean;
+	/** Response of the database to every command; by default it names the command. */
+	body?: string;
 };
 
 function createFixture(): Fixture {
@@ -64,7 +66,7 @@
 					const isEnd = command.kind === 'rollback' || (command.kind === 'forward' && command.text === 'COMMIT');
 					state = isEnd ? 'idle' : state;
 					return {
-						body: `DATAROW ${command.kind}\r\n`, outcome: {kind: 'complete'}, state, point: {term: 3, position: 12_345_678_901_234_567_890n},
+						body: fixture.body ?? `DATAROW ${command.kind}\r\n`, outcome: {kind: 'complete'}, state, point: {term: 3, position: 12_345_678_901_234_567_890n},
 					};
 				});
 			},
@@ -236,6 +238,19 @@
 	});
 
 	// Guards against a relay that ends at its heap limit because many hosts send it large statements at once.
+	// Guards against one client's message that ends the link of all others.
+	test('whose message is too long for the link fails alone, with a response that is too long as well', async () => {
+		const fixture = createFixture();
+		const other = createHandle(fixture);
+		await runStep(fixture, other, createStep(fixture, 'READ a', {begin: {isReadOnly: true}, isLast: false}));
+		const text = '\u0001'.repeat(1_500_000);
+		expect(await runStep(fixture, createHandle(fixture), createStep(fixture, text, {isSentOnce: true}))).toMatchObject({failure: 'unsendable', wasSent: false});
+		fixture.body = text;
+		expect(await runStep(fixture, createHandle(fixture), createStep(fixture, 'READ b'))).toMatchObject({failure: 'no_memory', wasSent: true});
+		fixture.body = undefined;
+		expect(await runStep(fixture, other, createStep(fixture, 'COMMIT'))).toMatchObject({kind: 'answered'});
+	});
+
 	// Guards against a write that is told as in doubt although nothing was sent.
 	test('is refused without wasSent when it executes a statement that it does not name', async () => {
 		const fixture = createFixture();
--- a/packages/heatherpond-fleet/src/host-links.ts
+++ b/packages/heatherpond-fleet/src/host-links.ts
@@ -1,5 +1,8 @@
 /** Port to the connections between hosts. Each link carries text messages in both directions, in order. */
 
+/** Maximum length of a message, in characters; a longer one ends the link on which it arrives. */
+export const MAX_LINK_MESSAGE_LENGTH = 8_388_608;
+
 /** A connection to another host, which may still be opening. */
 export type HostLink = {
 	/** Sends a message, which is queued until the link is open. */
--- a/packages/heatherpond-fleet/src/relay-client.ts
+++ b/packages/heatherpond-fleet/src/relay-client.ts
@@ -4,7 +4,7 @@
 	createExpiredError, createOverloadError, createUpstreamError, type ConnectionHandle, type ConnectionRequest, type StepResult, type UpstreamFailure, type ConnectionStep, type WriteEvent,
 } from 'heatherpond-session';
 import type {HostRecord} from './fleet-records.js';
-import type {HostLink, HostLinkPort} from './host-links.js';
+import {MAX_LINK_MESSAGE_LENGTH, type HostLink, type HostLinkPort} from './host-links.js';
 import {formatRelayMessage, parseRelayMessage, type EncodedStep} from './relay-messages.js';
 import {createRelayedConnection, type StepMessage} from './relayed-connection.js';
 
@@ -209,6 +209,12 @@
 			throw createExpiredError();
 		}
 
+		message.step.relayDeadline = convertDeadline(relayLink, deadline);
+		const text = formatRelayMessage(message);
+		if (text.length > MAX_LINK_MESSAGE_LENGTH) {
+			throw createUpstreamError('step is too long to be sent to a relay', 'unsendable', false);
+		}
+
 		const stopTimers = [
 			clock.registerTimer(deadline + DEADLINE_GRACE_MS, () => {
 				relayLink.waiting.get(loan)?.reject(createUpstreamError('relay did not respond within the deadline of the step', 'silent', true));
@@ -221,8 +227,7 @@
 		try {
 			return await new Promise<StepResult>((resolve, reject) => {
 				relayLink.waiting.set(loan, {resolve, reject});
-				message.step.relayDeadline = convertDeadline(relayLink, deadline);
-				relayLink.link.send(formatRelayMessage(message));
+				relayLink.link.send(text);
 			});
 		} finally {
 			stopTimers.forEach(stop => {
--- a/packages/heatherpond-fleet/src/relay-server.ts
+++ b/packages/heatherpond-fleet/src/relay-server.ts
@@ -3,7 +3,7 @@
 import {
 	CONNECTION_PART_BYTES, createConnectionMemory, createOverloadError, createUpstreamError, UpstreamError, type ConnectionHandle, type MessageMemory, type Primary, type StepResult, type UpstreamsPort, type WriteEvent,
 } from 'heatherpond-session';
-import type {HostLink, HostLinkPort} from './host-links.js';
+import {MAX_LINK_MESSAGE_LENGTH, type HostLink, type HostLinkPort} from './host-links.js';
 import {
 	encodeStepEnd, decodeStep, formatRelayMessage, parseRelayMessage, type RelayMessage,
 } from './relay-messages.js';
@@ -39,18 +39,23 @@
 /** Mean retry-after hint, in milliseconds, while messages under way take up all memory for them. */
 const MEMORY_RETRY_AFTER_MS = 250;
 
-function countBytes({step: {command}}: Step): number {
+function countBytes({step: {command, needs}}: Step): number {
+	const variables = [...needs?.variables ?? []].flat();
+	return [...variables, needs?.statement?.shape ?? '', readCommandText(command)].reduce((sum, text) => sum + text.length, 0);
+}
+
+function readCommandText(command: Step['step']['command']): string {
 	switch (command?.kind) {
 		case 'forward': {
-			return command.text.length;
+			return command.text;
 		}
 
 		case 'execute': {
-			return command.arguments.length;
+			return command.arguments;
 		}
 
 		default: {
-			return 0;
+			return '';
 		}
 	}
 }
@@ -71,14 +76,15 @@
 	const {clock, writeEvent} = options;
 	const servedConnections = new Map<number, ServedConnection>();
 
-	function send(message: RelayMessage): void {
-		link.send(formatRelayMessage(message));
-	}
-
 	/** Sends the result of a step, or a sign of life, with what the clock says. */
 	function sendTimed(message: UntimedMessage): void {
 		// Rounded down, what the clock says stays true, and the message short.
-		send({...message, sentAt: Math.floor(clock.readNow())});
+		const text = formatRelayMessage({...message, sentAt: Math.floor(clock.readNow())});
+		if (text.length > MAX_LINK_MESSAGE_LENGTH) {
+			throw createUpstreamError('response is too long to be sent to the host', 'no_memory', true);
+		}
+
+		link.send(text);
 	}
 
 	/** Cancels what waits for a connection, and releases it. */
