Refuse a statement at once when a name or value of it cannot be sent to databases

Callers of a team that databases cannot be told were held for up to twelve attempts and then told that no database responded, and to retry.

Cause: an attempt that failed as unsendable was repeated like one that a database did not answer.

Evidence: unsendable-statements.test.ts failed in its six cases before, with the code busy; it passes now, with the refusal in the same 10 ms of the clock.

No other database and no later moment changes what can be written in a line, so the first such failure ends the statement as malformed, with that as its reason.

--- a/packages/heatherpond-session/src/attempt-rules.ts
+++ b/packages/heatherpond-session/src/attempt-rules.ts
@@ -43,6 +43,17 @@
 	}
 }
 
+/**
+ * Checks that a failed attempt may succeed elsewhere or later.
+ *
+ * @throws RefusedError when a name or value cannot be sent to any database
+ */
+export function checkSendable(failure: string): void {
+	if (failure === 'unsendable') {
+		throw createRefusedError(createRefusal('malformed', 'a name or value of the statement, its session or its team cannot be sent to databases'));
+	}
+}
+
 /** Creates the refusal of a statement that had no effect: it was not run, or it was a read whose results are discarded. */
 function createNotRunRefusal({lastFailureReason}: RunningStatement, retryAfterMs: number): Refusal {
 	return createRefusal('busy', `no database responded in time; last failure: ${lastFailureReason || 'busy'}`, retryAfterMs);
--- a/packages/heatherpond-session/src/statement-attempts.ts
+++ b/packages/heatherpond-session/src/statement-attempts.ts
@@ -3,7 +3,7 @@
  * retried even if its response was lost; a write that may have been committed is never sent again.
  */
 import {
-	BUSY_RETRY_AFTER_MS, checkRetryAllowed, computeSpreadRetry, computeAttemptTimeout, isRetryableRead, MAX_RETRY_DELAY_MS, waitBeforeRetry,
+	BUSY_RETRY_AFTER_MS, checkRetryAllowed, checkSendable, computeSpreadRetry, computeAttemptTimeout, isRetryableRead, MAX_RETRY_DELAY_MS, waitBeforeRetry,
 } from './attempt-rules.js';
 import type {ConnectionHandle} from './connection-handle.js';
 import {createRefusal} from './refusal.js';
@@ -211,11 +211,13 @@
 }
 
 /**
- * Checks whether an overloaded database leaves another one to try.
+ * Checks whether a failed attempt leaves another one to try.
  *
- * @throws RefusedError with the time at which room is expected, when every database that could run the statement has been tried
+ * @throws RefusedError when the statement cannot be sent to any database, and with the time at which room is expected when every
+ * database that could run it is overloaded
  */
 function checkAlternatives({services, running, needsPrimary}: AttemptContext, failure: string, retryAfterMs: number): void {
+	checkSendable(failure);
 	const {route: {group}, team, homes, failed} = running;
 	const isTriedEverywhere = (): boolean => services.upstreams.findCandidates(group, {team, homes}).every(({id}) => failed.has(id));
 	if (failure === 'overloaded' && (needsPrimary || isTriedEverywhere())) {
