Tell a client at once that its team or group has a name that databases cannot be told

Callers of such a team were accepted, and refused statement by statement, the ones of such a group as if its primary had failed, after a quarter of their target latency. Before, they also took tokens, and a team called "cold database db-1" would have taken those of that database.

Cause: the operator's names are free text, and nothing between the configuration and the line asked whether a line can hold them.

The configuration now lists these names, the decision on access knows them, and the log line of a new configuration counts them. The keys and routes stay known, so nobody is told that a key or a database does not exist.

--- a/packages/heatherpond-fleet/src/__tests__/unit/fleet-views.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/fleet-views.test.ts
@@ -192,6 +192,15 @@
 		expect(decideAccess(state, {database: 'open', key: ''}, 5000, 90_000)).toMatchObject({kind: 'allow', team: '-'});
 	});
 
+	// Guards against clients that wait for a database which can never be told who they are.
+	test('refuses at once what databases cannot be told, with that as the reason', () => {
+		const named = (name: string): FleetState => ({...state, contracts: {...contracts, unsendableNames: new Set([name])}});
+		expect(decideAccess(named('team'), {database: 'shop', key: 'key'}, 5000, 1100)).toEqual({kind: 'refuse', reason: 'unsendable_name'});
+		expect(decideAccess(named('g'), {database: 'open', key: ''}, 5000, 1100)).toEqual({kind: 'refuse', reason: 'unsendable_name'});
+		expect(decideAccess(named('team'), {database: 'open', key: ''}, 5000, 1100)).toMatchObject({kind: 'allow'});
+		expect(decideAccess(named('team'), {database: 'shop', key: 'other'}, 5000, 1100)).toEqual({kind: 'refuse', reason: 'unknown_key'});
+	});
+
 	test('refuses all clients before the contracts have been read', () => {
 		expect(decideAccess(EMPTY_FLEET_STATE, {database: 'open', key: ''}, 5000, 0)).toEqual({kind: 'refuse', reason: 'unverified'});
 	});
--- a/packages/heatherpond-fleet/src/access-decision.ts
+++ b/packages/heatherpond-fleet/src/access-decision.ts
@@ -14,7 +14,7 @@
 
 /**
  * Decides whether a client may use a route. Closed routes require contracts that were verified within the revocation
- * period; open routes are allowed with contracts of any age.
+ * period; open routes are allowed with contracts of any age. A client whose team or group databases cannot be told is refused.
  *
  * @param revocationMs - milliseconds within which a withdrawn key must stop working
  */
@@ -30,21 +30,21 @@
 		return {kind: 'refuse', reason: isVerified ? 'unknown_database' : 'unverified'};
 	}
 
-	const team = contracts.teamsByKey.get(key);
-	const homes = findCommonHomes(route.homes, team === undefined ? undefined : contracts.teams.get(team)?.homes);
-	if (route.isOpen) {
-		return {
-			kind: 'allow', route, team: team ?? OPEN_TEAM, homes,
-		};
+	const known = contracts.teamsByKey.get(key);
+	if (!route.isOpen && !isVerified) {
+		return {kind: 'refuse', reason: 'unverified'};
 	}
 
-	if (!isVerified) {
-		return {kind: 'refuse', reason: 'unverified'};
+	const team = known ?? (route.isOpen ? OPEN_TEAM : undefined);
+	if (team === undefined) {
+		return {kind: 'refuse', reason: 'unknown_key'};
+	}
+
+	if (contracts.unsendableNames && [route.group, team].some(name => contracts.unsendableNames!.has(name))) {
+		return {kind: 'refuse', reason: 'unsendable_name'};
 	}
 
-	return team === undefined
-		? {kind: 'refuse', reason: 'unknown_key'}
-		: {
-			kind: 'allow', route, team, homes,
-		};
+	return {
+		kind: 'allow', route, team, homes: findCommonHomes(route.homes, known === undefined ? undefined : contracts.teams.get(known)?.homes),
+	};
 }
--- a/packages/heatherpond-fleet/src/cold-databases.ts
+++ b/packages/heatherpond-fleet/src/cold-databases.ts
@@ -10,7 +10,7 @@
 
 /** Fraction of the permitted rate that is granted; the rest covers statements that arrive later than they were granted. */
 const GRANTED_SHARE = 0.9;
-/** Begins the name of a budget. Names of teams contain no space. */
+/** Begins the name of a budget. A team with a space in its name is refused before it takes tokens. */
 const SUBJECT_PREFIX = 'cold database ';
 
 /** Formats the name under which the budget of a database is granted. */
--- a/packages/heatherpond-fleet/src/contracts.ts
+++ b/packages/heatherpond-fleet/src/contracts.ts
@@ -34,6 +34,8 @@
 	readonly teams: ReadonlyMap<string, TeamContract>;
 	/** Team by API key. */
 	readonly teamsByKey: ReadonlyMap<string, string>;
+	/** Names of groups and teams that databases cannot be told, so that nothing can be run for them; absent when there are none. */
+	readonly unsendableNames?: ReadonlySet<string>;
 	/** Milliseconds for which an open transaction may wait for the next statement of its client. */
 	readonly idleTransactionMs: number;
 };
--- a/packages/heatherpond-fleet/src/fleet-followers.ts
+++ b/packages/heatherpond-fleet/src/fleet-followers.ts
@@ -162,7 +162,9 @@
 	blackboard.update(state => {
 		const isNewer = parsed !== undefined && parsed.version > (state.contracts?.version ?? Number.NEGATIVE_INFINITY);
 		if (isNewer) {
-			writeEvent('contracts_in_force', {version: parsed.version, routes: parsed.routes.size, teams: parsed.teams.size});
+			writeEvent('contracts_in_force', {
+				version: parsed.version, routes: parsed.routes.size, teams: parsed.teams.size, unsendable: parsed.unsendableNames?.size,
+			});
 		}
 
 		// After a restore, the row may be an old one until the operator has written it again.
--- a/packages/heatherpond-session/src/client-session.ts
+++ b/packages/heatherpond-session/src/client-session.ts
@@ -115,6 +115,10 @@
 			return createRefusal('unknown_key', 'the API key is unknown or has been withdrawn');
 		}
 
+		case 'unsendable_name': {
+			return createRefusal('malformed', 'the name of the team or of the database group cannot be sent to databases');
+		}
+
 		case 'unverified':
 		case 'unverified_here': {
 			return createRefusal('busy', 'the contracts cannot be verified at the moment; retry later', UNVERIFIED_RETRY_AFTER_MS);
--- a/packages/heatherpond-session/src/session-services.ts
+++ b/packages/heatherpond-session/src/session-services.ts
@@ -12,10 +12,13 @@
 /** The database that is primary of a group in a term. */
 export type Primary = {readonly group: string; readonly database: string; readonly term: number};
 
-/** Whether a client may use a route; with `unverified_here`, other hosts can verify the contracts although this one cannot. */
+/**
+ * Whether a client may use a route; with `unverified_here`, other hosts can verify the contracts although this one cannot, and with
+ * `unsendable_name` databases cannot be told the name of the team or of the group.
+ */
 export type SessionAccess
 	= | {readonly kind: 'allow'; readonly route: SessionRoute; readonly team: string; readonly homes?: Homes}
-		| {readonly kind: 'refuse'; readonly reason: 'unknown_database' | 'unknown_key' | 'unverified' | 'unverified_here'};
+		| {readonly kind: 'refuse'; readonly reason: 'unknown_database' | 'unknown_key' | 'unsendable_name' | 'unverified' | 'unverified_here'};
 
 /** Authorizes clients by the newest contracts. */
 export type AccessPort = {
