Find what a report says of a team, database or host among its own entries only

A team called constructor, or any other name that all objects inherit, got a demand that is no number, so its limit was none, and the digest of its domain was malformed for every host that serves it; a database of that name made reports fail.

Cause: names of the operator and of databases are keys of plain objects in messages between hosts, and were looked up with their prototype.

Such lookups go through findEntry, which finds own entries only.

--- a/packages/heatherpond-fleet/src/domain-digests.ts
+++ b/packages/heatherpond-fleet/src/domain-digests.ts
@@ -6,6 +6,7 @@
 import type {DomainPeers} from './domain-peers.js';
 import type {HostContact} from './host-message.js';
 import type {OwnReports} from './own-reports.js';
+import {findEntry} from './record-entries.js';
 import type {RemoteDomains} from './remote-domains.js';
 import {computeTotalUsage} from './remote-usage.js';
 import type {
@@ -96,5 +97,5 @@
 
 /** Selects the usage of some teams, which are the keys of `teams`; a team that nobody asks for has no demand, while one that is left out is unknown. */
 function selectTeams(usage: DomainUsage, teams: Readonly<Record<string, number>>): DomainUsage {
-	return {...usage, teams: Object.fromEntries(Object.keys(teams).map(team => [team, usage.teams[team] ?? 0]))};
+	return {...usage, teams: Object.fromEntries(Object.keys(teams).map(team => [team, findEntry(usage.teams, team) ?? 0]))};
 }
--- a/packages/heatherpond-fleet/src/remote-domains.ts
+++ b/packages/heatherpond-fleet/src/remote-domains.ts
@@ -5,6 +5,7 @@
 import type {Clock, Instant} from 'heatherpond-core';
 import {REPORT_EXPIRY_MS, type ReceivedReport} from './domain-peers.js';
 import type {HostContact} from './host-message.js';
+import {findEntry} from './record-entries.js';
 import {computeTotalUsage} from './remote-usage.js';
 import type {
 	DomainUsage, RemoteLeader, RemoteOverview, UsageReport,
@@ -118,7 +119,7 @@
 		countReported: () => readKnownLeaders().length,
 		countUnknownDemands(team) {
 			const overview = readOverview()?.overview;
-			return overview && overview.usage.teams[team] === undefined ? overview.leaders.filter(({domain}) => !reports.has(domain)).length : 0;
+			return overview && findEntry(overview.usage.teams, team) === undefined ? overview.leaders.filter(({domain}) => !reports.has(domain)).length : 0;
 		},
 		findReceivers(remoteHosts) {
 			const leaders = readLeaders();
--- a/packages/heatherpond-fleet/src/remote-usage.ts
+++ b/packages/heatherpond-fleet/src/remote-usage.ts
@@ -1,6 +1,7 @@
 /** Sums of the usage that hosts and failure domains report. */
 import type {Clock, Instant} from 'heatherpond-core';
 import type {HostUsage} from './own-reports.js';
+import {findEntry} from './record-entries.js';
 import type {DomainUsage} from './usage-report.js';
 
 /** Usage of one database. */
@@ -44,7 +45,7 @@
 
 /** Counts the operations per second that a team requests. */
 export function countTeamDemand(reports: ReadonlyArray<Pick<DomainUsage, 'teams'>>, team: string): number {
-	return reports.reduce((sum, {teams}) => sum + (teams[team] ?? 0), 0);
+	return reports.reduce((sum, {teams}) => sum + (findEntry(teams, team) ?? 0), 0);
 }
 
 /** Sums the usage of hosts or failure domains. */
@@ -75,7 +76,7 @@
 		isVerified: usage.isVerified,
 		teams: usage.teams,
 		databases: Object.fromEntries(Object.entries(usage.databases).map(([database, [statements, connections]]) => {
-			const [ownStatements, ownConnections] = own.databases[database] ?? [0, 0];
+			const [ownStatements, ownConnections] = findEntry(own.databases, database) ?? [0, 0];
 			return [database, [Math.max(0, statements - ownStatements), Math.max(0, connections - ownConnections)]];
 		})),
 	};
--- a/packages/heatherpond-fleet/src/shared-positions.ts
+++ b/packages/heatherpond-fleet/src/shared-positions.ts
@@ -10,6 +10,7 @@
  */
 import type {Instant} from 'heatherpond-core';
 import type {PositionTracker} from 'heatherpond-session';
+import {findEntry} from './record-entries.js';
 import type {UsageReport} from './usage-report.js';
 
 /** Positions by group, as they are reported: term, position and age in milliseconds. */
@@ -46,7 +47,7 @@
  * @param findSentAt - finds when this host sent one of its reports
  */
 export function applyReportedPositions({echoes = {}, positions = {}}: Pick<UsageReport, 'echoes' | 'positions'>, host: string, findSentAt: (echoed: {readonly incarnation: string; readonly sequence: number}) => Instant | undefined, tracker: PositionTracker): void {
-	const echo = echoes[host];
+	const echo = findEntry(echoes, host);
 	const sentAt = echo && findSentAt({incarnation: echo[0], sequence: echo[1]});
 	if (sentAt === undefined) {
 		return;
