Keep each event one log line of bounded length, whatever a client names

A client that asked for a database whose name holds a line feed wrote lines of its own into a host's log, with any event and host; a name of a megabyte was written as a whole.

Cause: the format of the lines quotes blanks and quotation marks, but not the characters that end a line, and the texts of clients, databases and the operator were passed to it as they were.

The logger replaces control characters, line and paragraph separators and halves of surrogate pairs by their number, and cuts a field after 2048 characters, for every event and field, stack traces included.

--- a/packages/heatherpond-observe/src/logger.ts
+++ b/packages/heatherpond-observe/src/logger.ts
@@ -44,7 +44,7 @@
 
 	function formatLine(level: string, event: string, fields: LogFields): string {
 		return logfmt.stringify({
-			time: new Date().toISOString(), level, event, host: options.host, domain: options.domain, ...removeUndefinedFields(fields),
+			time: new Date().toISOString(), level, event, ...convertFields({host: options.host, domain: options.domain, ...fields}),
 		});
 	}
 
@@ -79,6 +79,16 @@
 	debug: log.levels.DEBUG, info: log.levels.INFO, warn: log.levels.WARN, error: log.levels.ERROR,
 };
 
-function removeUndefinedFields(fields: LogFields): LogFields {
-	return Object.fromEntries(Object.entries(fields).filter(([, value]) => value !== undefined));
+/** Characters of a field that a line holds; a stack trace fits. */
+const MAX_FIELD_LENGTH = 2048;
+/** Characters that end a line for some reader of it, or that cannot be written. */
+const UNWRITABLE = /[\p{Cc}\p{Zl}\p{Zp}\p{Cs}]/gv;
+
+/** Leaves out undefined fields, and makes the others fit for a line: their texts come from clients, databases and the operator. */
+function convertFields(fields: LogFields): LogFields {
+	return Object.fromEntries(Object.entries(fields).filter(([, value]) => value !== undefined).map(([name, value]) => [name, typeof value === 'string' ? formatText(value) : value]));
+}
+
+function formatText(text: string): string {
+	return text.slice(0, MAX_FIELD_LENGTH).replaceAll(UNWRITABLE, character => String.raw`\u${character.codePointAt(0)!.toString(16).padStart(4, '0')}`);
 }
