Read texts and counts of client messages as the protocol gives them

A client that prepared the text `x DELETE FROM t`, which is no SQL, under a name of one byte that is not UTF-8 had `DELETE FROM t` run: the rows were gone. Two such names were also taken for one.

Texts were decoded with replacement characters, and the length of the decoded name, three bytes for each byte that is not valid, told where the query text began. Classification read the whole text, the database got the rest of it. Bytes behind the last field were ignored here and passed on, and counts above 32767 were read as negative.

Texts have to be valid UTF-8 now (22021, as PostgreSQL answers), parseParse gives the definition from the place where the name ended, and every message has to end with its last field (08P01). A text with a zero byte can't be encoded, as it would end there.

--- a/packages/heatherpond-postgres/src/client-error.ts
+++ b/packages/heatherpond-postgres/src/client-error.ts
@@ -82,7 +82,9 @@
 	}
 
 	if (error instanceof WireError) {
-		return {severity: 'FATAL', code: SQL_STATE.protocolViolation, message: error.message};
+		return error.reason === 'encoding'
+			? {severity: 'ERROR', code: SQL_STATE.invalidEncoding, message: error.message}
+			: {severity: 'FATAL', code: SQL_STATE.protocolViolation, message: error.message};
 	}
 
 	return undefined;
--- a/packages/heatherpond-postgres/src/prepared-statements.ts
+++ b/packages/heatherpond-postgres/src/prepared-statements.ts
@@ -38,8 +38,8 @@
 
 /** Creates a prepared statement from the body of a Parse message. */
 export function createPreparedStatement(body: Buffer): {readonly name: string; readonly statement: PreparedStatement} {
-	const {statement: name, text} = parseParse(body);
-	const definition = Buffer.from(body.subarray(Buffer.byteLength(name) + 1));
+	const {statement: name, text, definition: received} = parseParse(body);
+	const definition = Buffer.from(received);
 	const upstreamName = name === '' ? '' : `hp_${createHash('sha256').update(definition).digest('hex').slice(0, NAME_HEX_DIGITS)}`;
 	return {name, statement: {upstreamName, definition, statements: classifyQueryText(text)}};
 }
--- a/packages/heatherpond-postgres/src/sql-states.ts
+++ b/packages/heatherpond-postgres/src/sql-states.ts
@@ -26,6 +26,7 @@
 	notSupported: '0A000',
 	invalidParameter: '22023',
 	protocolViolation: '08P01',
+	invalidEncoding: '22021',
 	adminShutdown: '57P01',
 	queryCanceled: '57014',
 	idleTimeout: '57P05',
--- a/packages/heatherpond-postgres/src/upstream-control.ts
+++ b/packages/heatherpond-postgres/src/upstream-control.ts
@@ -119,7 +119,7 @@
 	const fields = createFieldReader(frame.body);
 	let type = fields.readByte();
 	while (type !== 0) {
-		const text = fields.readText();
+		const text = fields.readDisplayText();
 		if (type === MESSAGE_FIELD) {
 			return text;
 		}
--- a/packages/heatherpond-standin/src/extended-query.ts
+++ b/packages/heatherpond-standin/src/extended-query.ts
@@ -96,7 +96,7 @@
 	const fields = createFieldReader(frame.body);
 	fields.readText();
 	fields.readText();
-	const parameterFormats = Array.from({length: fields.readInt16()}, () => fields.readInt16());
+	const parameterFormats = Array.from({length: fields.readCount()}, () => fields.readInt16());
 	if ([...parameterFormats, ...resultFormats].includes(BINARY_FORMAT)) {
 		throw new StatementError('the stand-in does not support binary formats, text is supported', {props: {sqlState: '0A000'}});
 	}
--- a/packages/heatherpond-wire/src/backend-messages.ts
+++ b/packages/heatherpond-wire/src/backend-messages.ts
@@ -1,6 +1,7 @@
 /** Encodes the messages that a server sends. */
 import {Buffer} from 'node:buffer';
 import {BACKEND, type TransactionStatus} from './message-types.js';
+import {WireError} from './wire-error.js';
 
 const LENGTH_BYTES = 4;
 
@@ -13,8 +14,12 @@
 	return Buffer.concat([header, ...fields]);
 }
 
-/** Encodes a zero-terminated string. */
+/** Encodes a zero-terminated string; throws a WireError if the text holds a zero byte, as it would end there. */
 export function encodeText(text: string): Buffer {
+	if (text.includes('\0')) {
+		throw new WireError('a text with a zero byte cannot be encoded');
+	}
+
 	return Buffer.from(`${text}\0`);
 }
 
--- a/packages/heatherpond-wire/src/error-message.ts
+++ b/packages/heatherpond-wire/src/error-message.ts
@@ -17,7 +17,7 @@
 	const texts = new Map<string, string>();
 	let type = fields.readByte();
 	while (type !== 0) {
-		texts.set(String.fromCodePoint(type), fields.readText());
+		texts.set(String.fromCodePoint(type), fields.readDisplayText());
 		type = fields.readByte();
 	}
 
--- a/packages/heatherpond-wire/src/frontend-messages.ts
+++ b/packages/heatherpond-wire/src/frontend-messages.ts
@@ -42,12 +42,16 @@
 		name = fields.readText();
 	}
 
+	fields.checkEnd();
 	return parameters;
 }
 
 /** Parses a message body that consists of one string, such as that of Query or CommandComplete. */
 export function parseText(body: Buffer): string {
-	return createFieldReader(body).readText();
+	const fields = createFieldReader(body);
+	const text = fields.readText();
+	fields.checkEnd();
+	return text;
 }
 
 /** Fields of a Parse message. */
@@ -58,14 +62,20 @@
 	readonly text: string;
 	/** Object ids of the parameter types that the client has specified. */
 	readonly parameterTypes: readonly number[];
+	/** Body of the message after the name: query text and parameter types. */
+	readonly definition: Buffer;
 };
 
 export function parseParse(body: Buffer): ParseMessage {
 	const fields = createFieldReader(body);
 	const statement = fields.readText();
+	const definition = body.subarray(body.length - fields.countRemaining());
 	const text = fields.readText();
-	const count = fields.readInt16();
-	return {statement, text, parameterTypes: Array.from({length: count}, () => fields.readInt32())};
+	const parameterTypes = Array.from({length: fields.readCount()}, () => fields.readInt32());
+	fields.checkEnd();
+	return {
+		statement, text, parameterTypes, definition,
+	};
 }
 
 /** Fields of a Bind message, without the parameter formats. */
@@ -81,16 +91,17 @@
 	const fields = createFieldReader(body);
 	const portal = fields.readText();
 	const statement = fields.readText();
-	const formatCount = fields.readInt16();
+	const formatCount = fields.readCount();
 	Array.from({length: formatCount}, () => fields.readInt16());
-	const valueCount = fields.readInt16();
+	const valueCount = fields.readCount();
 	const values = Array.from({length: valueCount}, () => {
 		const length = fields.readInt32();
 		return length === -1 ? undefined : fields.readBytes(length);
 	});
-	const resultCount = fields.readInt16();
+	const resultFormats = Array.from({length: fields.readCount()}, () => fields.readInt16());
+	fields.checkEnd();
 	return {
-		portal, statement, values, resultFormats: Array.from({length: resultCount}, () => fields.readInt16()),
+		portal, statement, values, resultFormats,
 	};
 }
 
@@ -124,7 +135,9 @@
 		throw new WireError(`invalid target ${JSON.stringify(letter)} of Describe or Close: expected S or P`);
 	}
 
-	return {target: letter === 'S' ? 'statement' : 'portal', name: fields.readText()};
+	const name = fields.readText();
+	fields.checkEnd();
+	return {target: letter === 'S' ? 'statement' : 'portal', name};
 }
 
 /** Fields of an Execute message. */
@@ -136,5 +149,8 @@
 
 export function parseExecute(body: Buffer): ExecuteMessage {
 	const fields = createFieldReader(body);
-	return {portal: fields.readText(), maxRows: fields.readInt32()};
+	const portal = fields.readText();
+	const maxRows = fields.readInt32();
+	fields.checkEnd();
+	return {portal, maxRows};
 }
