Let stand-in databases read statements as PostgreSQL does, and record them

An observer gets each statement that ran: text, values and settings.

Parameters are counted in the syntax tree; `$2` in a literal is none.

--- a/packages/heatherpond-standin/src/connection-state.ts
+++ b/packages/heatherpond-standin/src/connection-state.ts
@@ -4,6 +4,7 @@
 } from 'heatherpond-wire';
 import type {ClientChannel} from './client-channel.js';
 import type {DatabaseFaults} from './database-faults.js';
+import type {StatementObserver} from './database-group.js';
 import type {DatabaseSession} from './database-session.js';
 import type {StatementResult} from './sql-context.js';
 import type {SqlNode} from './sql-expression.js';
@@ -14,7 +15,7 @@
 export const POSITION_PARAMETER = 'heatherpond.position';
 
 /** A prepared statement; `statement` is absent for an empty query. */
-export type PreparedStatement = {readonly statement?: SqlNode; readonly parameterTypes: readonly number[]};
+export type PreparedStatement = {readonly text: string; readonly statement?: SqlNode; readonly parameterTypes: readonly number[]};
 
 /** A prepared statement bound to parameter values. */
 export type Portal = {
@@ -29,6 +30,7 @@
 	readonly channel: ClientChannel;
 	readonly faults: DatabaseFaults;
 	readonly session: DatabaseSession;
+	readonly observer: StatementObserver;
 	readonly statements: Map<string, PreparedStatement>;
 	readonly portals: Map<string, Portal>;
 	/** After an error in the extended protocol, all messages up to the next Sync are ignored. */
@@ -82,18 +84,51 @@
 	state.channel.send(createCommandComplete(result.tag));
 }
 
+/** A statement to run, with the text that it came in and its parameter values. */
+export type StatementRun = {readonly text: string; readonly statement: SqlNode; readonly values: readonly SqlValue[]};
+
 /** Runs a statement and applies its effects on the connection itself. */
-export async function runStatement(state: ConnectionState, statement: SqlNode, values: readonly SqlValue[]): Promise<StatementResult> {
+export async function runStatement(state: ConnectionState, {text, statement, values}: StatementRun): Promise<StatementResult> {
 	const result = await state.session.run(statement, values);
-	if (result.tag === 'COMMIT') {
-		applyLostCommitResponseFault(state);
-	} else if (result.tag === 'DISCARD ALL' || result.tag === 'DEALLOCATE') {
-		state.statements.clear();
+	state.observer.handleStatement?.({text, values, settings: state.session.readSettings()});
+	switch (result.tag) {
+		case 'COMMIT': {
+			applyLostCommitResponseFault(state);
+
+			break;
+		}
+
+		case 'DISCARD ALL':
+		case 'DEALLOCATE ALL': {
+			state.statements.clear();
+
+			break;
+		}
+
+		case 'DEALLOCATE': {
+			removeStatement(state, statement.DeallocateStmt as SqlNode);
+
+			break;
+		}
+	// No default
 	}
 
 	return result;
 }
 
+/** Applies DEALLOCATE of one name. */
+function removeStatement(state: ConnectionState, deallocation: SqlNode): void {
+	const name = deallocation.name as string;
+	if (!state.statements.delete(name)) {
+		throw createUnknownStatementError(name);
+	}
+}
+
+/** Creates the error for the name of a prepared statement that the connection does not have. */
+export function createUnknownStatementError(name: string): Error {
+	return new StatementError(`prepared statement "${name}" does not exist`, {props: {sqlState: '26000'}});
+}
+
 /** Commits the implicit transaction. With the lost-response fault, the connection is closed after the commit. */
 export function endImplicitTransaction(state: ConnectionState): void {
 	const hasCommitted = state.session.commitImplicitTransaction();
--- a/packages/heatherpond-standin/src/database-connection.ts
+++ b/packages/heatherpond-standin/src/database-connection.ts
@@ -13,6 +13,7 @@
 import {createDatabaseSession} from './database-session.js';
 import {handleExtendedMessage} from './extended-query.js';
 import type {Slots} from './slots.js';
+import {resolveDateLiterals} from './sql-dates.js';
 import {parseStatements} from './sql-parser.js';
 
 /** Options of a connection: those of the server, and the resources that its connections share. */
@@ -98,12 +99,18 @@
 		return undefined;
 	}
 
+	const portals: ConnectionState['portals'] = new Map();
 	const state: ConnectionState = {
 		channel,
 		faults: options.member.faults,
-		session: createDatabaseSession({...options, isControl: user.isControl}),
+		session: createDatabaseSession({
+			...options, isControl: user.isControl, handleTransactionEnd() {
+				portals.clear();
+			},
+		}),
+		observer: user.isControl ? {} : options.member.observer,
 		statements: new Map(),
-		portals: new Map(),
+		portals,
 		isSkippingUntilSync: false,
 		reportedPosition: '',
 	};
@@ -155,11 +162,23 @@
 		sendError(state, error);
 	}
 
-	state.channel.send(createReadyForQuery(state.session.readStatus()));
+	sendReady(state);
+}
+
+/** Reports the transaction status. Portals end with their transaction, which Parse and Bind have begun as well. */
+function sendReady(state: ConnectionState): void {
+	const status = state.session.readStatus();
+	if (status === 'I') {
+		state.portals.clear();
+	}
+
+	state.channel.send(createReadyForQuery(status));
 }
 
 /** Runs all statements of a simple query; the implicit transaction commits before the last result is sent. */
 async function handleQuery(state: ConnectionState, text: string): Promise<void> {
+	state.statements.delete('');
+	state.portals.delete('');
 	try {
 		const statements = parseStatements(text);
 		if (statements.length === 0) {
@@ -167,7 +186,8 @@
 		}
 
 		for (const [index, statement] of statements.entries()) {
-			const result = await runStatement(state, statement, []);
+			const resolved = resolveDateLiterals(statement, state.session.readSetting('datestyle')!);
+			const result = await runStatement(state, {text, statement: resolved, values: []});
 			if (index === statements.length - 1) {
 				endImplicitTransaction(state);
 			}
@@ -178,5 +198,5 @@
 		sendError(state, error);
 	}
 
-	state.channel.send(createReadyForQuery(state.session.readStatus()));
+	sendReady(state);
 }
--- a/packages/heatherpond-standin/src/database-group.ts
+++ b/packages/heatherpond-standin/src/database-group.ts
@@ -2,12 +2,29 @@
 import type {Clock, Teardown} from 'heatherpond-core';
 import {createDatabase, type Database} from './database.js';
 import {createDatabaseFaults, type DatabaseFaults} from './database-faults.js';
+import type {SqlValue} from './sql-row.js';
 
 /** One database of a group, with its injected faults and counters. */
 export type GroupMember = {
 	readonly database: Database;
 	readonly faults: DatabaseFaults;
 	readonly counters: DatabaseCounters;
+	readonly observer: StatementObserver;
+};
+
+/** A statement as a database ran it for a client. */
+export type ExecutedStatement = {
+	/** Text of the Query or Parse message. */
+	readonly text: string;
+	readonly values: readonly SqlValue[];
+	/** Configuration parameters that were set, by name in lower case. */
+	readonly settings: Readonly<Record<string, string>>;
+};
+
+/** Observes the statements of one database; tests set the function. */
+export type StatementObserver = {
+	/** Called for each statement that has succeeded for a client that is not a control user. */
+	handleStatement?: (statement: ExecutedStatement) => void;
 };
 
 /** Counters of client statements executed by one database since its start. */
@@ -44,6 +61,7 @@
 		database: createDatabase({name, clock, firstPrimary: options.databases[0]!}),
 		faults: createDatabaseFaults(),
 		counters: {selects: 0},
+		observer: {},
 	}));
 	const pendingDeliveries = new Set<Teardown>();
 	let stopTimer: Teardown | undefined;
--- a/packages/heatherpond-standin/src/database-session.ts
+++ b/packages/heatherpond-standin/src/database-session.ts
@@ -27,6 +27,8 @@
 	readonly isControl: boolean;
 	/** Called for each SELECT of a client that is not a control user. */
 	readonly handleRead: () => void;
+	/** Called when a transaction has ended; its portals end with it. */
+	readonly handleTransactionEnd?: () => void;
 };
 
 /** Runs the statements of one client sequentially. */
@@ -37,6 +39,10 @@
 	readonly describe: (statement: SqlNode) => readonly ResultColumn[] | undefined;
 	/** Commits the implicit transaction, at the end of a simple query or at Sync; returns whether it had changes. */
 	readonly commitImplicitTransaction: () => boolean;
+	/** Returns the value of a configuration parameter. */
+	readonly readSetting: (name: string) => string | undefined;
+	/** Returns the configuration parameters that have been set, by name in lower case. */
+	readonly readSettings: () => Readonly<Record<string, string>>;
 	/** Transaction status as reported in ReadyForQuery. */
 	readonly readStatus: () => TransactionStatus;
 	/** Marks the transaction block as failed, or rolls back the implicit transaction. */
@@ -59,7 +65,13 @@
 	const {clock, signal} = options;
 	const {database, faults} = options.member;
 	const settings = createSessionSettings();
-	const transaction = createSessionTransaction(database, () => settings.read('default_transaction_read_only') === 'on');
+	const transaction = createSessionTransaction(database, {
+		isReadOnlyByDefault: () => settings.read('default_transaction_read_only') === 'on',
+		handleEnd(hasCommitted) {
+			settings.endTransaction(hasCommitted);
+			options.handleTransactionEnd?.();
+		},
+	});
 	let logPosition = database.readLastPosition();
 	let pendingSleepMs = 0;
 
@@ -232,6 +244,8 @@
 			logPosition = hasEffects && committed ? committed : logPosition;
 			return hasEffects;
 		},
+		readSetting: settings.read,
+		readSettings: settings.readAll,
 		readStatus: transaction.readStatus,
 		fail: transaction.fail,
 		readLogPosition: () => logPosition,
--- a/packages/heatherpond-standin/src/extended-query.ts
+++ b/packages/heatherpond-standin/src/extended-query.ts
@@ -1,11 +1,13 @@
 /** The extended query protocol of a stand-in database: prepared statements and portals. */
 import {
 	createBindComplete, createCloseComplete, createCommandComplete, createEmptyQueryResponse, createFieldReader, createNoData, createParameterDescription, createParseComplete, createPortalSuspended,
-	createRowDescription, FRONTEND, parseBind, parseExecute, parseParse, parseTarget, type Frame,
+	createRowDescription, FRONTEND, parseBind, parseExecute, parseParse, parseTarget, type BindMessage, type Frame,
 } from 'heatherpond-wire';
 import {
-	runStatement, sendError, sendLogPosition, sendRows, type ConnectionState, type Portal, type PreparedStatement,
+	createUnknownStatementError, runStatement, sendError, sendLogPosition, sendRows, type ConnectionState, type Portal, type PreparedStatement,
 } from './connection-state.js';
+import {resolveDateLiterals} from './sql-dates.js';
+import type {SqlNode} from './sql-expression.js';
 import {parseStatements} from './sql-parser.js';
 import {TYPE_ID} from './sql-row.js';
 import {StatementError} from './standin-error.js';
@@ -63,26 +65,56 @@
 /** Prepares a statement. */
 function handleParse(state: ConnectionState, frame: Frame): void {
 	const message = parseParse(frame.body);
-	const statements = parseStatements(message.text);
-	if (statements.length > 1) {
+	const [statement, ...others] = parseStatements(message.text);
+	if (others.length > 0) {
 		throw new StatementError('cannot insert multiple commands into a prepared statement', {props: {sqlState: '42601'}});
 	}
 
-	state.statements.set(message.statement, {statement: statements[0], parameterTypes: resolveParameterTypes(message.text, message.parameterTypes)});
+	checkNotAborted(state, statement);
+	if (message.statement !== '' && state.statements.has(message.statement)) {
+		throw new StatementError(`prepared statement "${message.statement}" already exists`, {props: {sqlState: '42P05'}});
+	}
+
+	state.statements.set(message.statement, {
+		text: message.text,
+		statement: statement && resolveDateLiterals(statement, state.session.readSetting('datestyle')!),
+		parameterTypes: resolveParameterTypes(statement, message.parameterTypes),
+	});
 	state.channel.send(createParseComplete());
 }
 
+/** Transaction commands that a failed transaction block accepts. */
+const EXIT_COMMANDS = new Set(['TRANS_STMT_COMMIT', 'TRANS_STMT_ROLLBACK', 'TRANS_STMT_ROLLBACK_TO', 'TRANS_STMT_PREPARE']);
+
+/** Throws in a failed transaction block, in which only a statement that ends it can be prepared and bound. */
+function checkNotAborted(state: ConnectionState, statement: SqlNode | undefined): void {
+	const command = statement?.TransactionStmt as SqlNode | undefined;
+	const isExit = command !== undefined && EXIT_COMMANDS.has(command.kind as string);
+	if (state.session.readStatus() === 'E' && statement && !isExit) {
+		throw new StatementError('current transaction is aborted, commands ignored until end of transaction block', {props: {sqlState: '25P02'}});
+	}
+}
+
 /** Returns the types of a statement's parameters; those that the client leaves unspecified are text. */
-function resolveParameterTypes(text: string, given: readonly number[]): readonly number[] {
-	const numbers = [...text.matchAll(/\$(\d+)/gv)].map(match => Number(match[1]));
-	const count = Math.max(given.length, ...numbers, 0);
+function resolveParameterTypes(statement: SqlNode | undefined, given: readonly number[]): readonly number[] {
+	const count = Math.max(given.length, ...readParameterNumbers(statement));
 	return Array.from({length: count}, (_value, index) => given[index] ?? TYPE_ID.text);
 }
 
+/** Returns the numbers of all parameters in a syntax tree. */
+function readParameterNumbers(node: unknown): readonly number[] {
+	if (typeof node !== 'object' || node === null) {
+		return [];
+	}
+
+	const parameter = (node as SqlNode).ParamRef as SqlNode | undefined;
+	return [...(parameter ? [parameter.number as number] : []), ...Object.values(node).flatMap(value => readParameterNumbers(value))];
+}
+
 function findStatement(state: ConnectionState, name: string): PreparedStatement {
 	const prepared = state.statements.get(name);
 	if (!prepared) {
-		throw new StatementError(`prepared statement "${name}" does not exist`, {props: {sqlState: '26000'}});
+		throw createUnknownStatementError(name);
 	}
 
 	return prepared;
@@ -102,11 +134,24 @@
 	}
 }
 
+/** Throws if a statement has another number of parameters than the values that are bound. */
+function checkParameters({statement, values}: BindMessage, {parameterTypes}: PreparedStatement): void {
+	if (values.length !== parameterTypes.length) {
+		throw new StatementError(`bind message supplies ${values.length} parameters, but prepared statement "${statement}" requires ${parameterTypes.length}`, {props: {sqlState: '08P01'}});
+	}
+}
+
 /** Creates a portal from a prepared statement and parameter values. */
 function handleBind(state: ConnectionState, frame: Frame): void {
 	const message = parseBind(frame.body);
 	checkTextFormats(frame, message.resultFormats);
 	const prepared = findStatement(state, message.statement);
+	checkNotAborted(state, prepared.statement);
+	checkParameters(message, prepared);
+	if (message.portal !== '' && state.portals.has(message.portal)) {
+		throw new StatementError(`cursor "${message.portal}" already exists`, {props: {sqlState: '42P03'}});
+	}
+
 	state.portals.set(message.portal, {prepared, values: message.values.map(value => value?.toString('utf8') ?? null)});
 	state.channel.send(createBindComplete());
 }
@@ -142,7 +187,8 @@
 	}
 
 	if (!portal.open) {
-		const result = await runStatement(state, portal.prepared.statement, portal.values);
+		const {text, statement} = portal.prepared;
+		const result = await runStatement(state, {text, statement, values: portal.values});
 		portal.open = {answer: result, rows: result.rows[Symbol.iterator]()};
 	}
 
--- a/packages/heatherpond-standin/src/sql-parser.ts
+++ b/packages/heatherpond-standin/src/sql-parser.ts
@@ -5,6 +5,8 @@
 
 /** Number of query strings whose syntax trees are cached; further ones are parsed on every use. */
 const MAX_CACHED_QUERIES = 1000;
+/** A text without a statement; only these characters are blanks to PostgreSQL. */
+const BLANK_PATTERN = /^[ \t\n\r\f]*$/v;
 const cache = new Map<string, readonly SqlNode[]>();
 
 /** Loads the parser module. Must complete before the first call of `parseStatements`. */
@@ -23,7 +25,7 @@
 		return cached;
 	}
 
-	if (text.trim() === '') {
+	if (BLANK_PATTERN.test(text)) {
 		return [];
 	}
 
--- a/packages/heatherpond-standin/src/sql-transaction.ts
+++ b/packages/heatherpond-standin/src/sql-transaction.ts
@@ -36,28 +36,43 @@
 	readonly rollBack: () => void;
 };
 
-/** Creates the transaction state of a session; `isReadOnlyByDefault` is called when a transaction begins. */
-export function createSessionTransaction(database: Database, isReadOnlyByDefault: () => boolean): SessionTransaction {
+/** Functions that a session passes to its transactions. */
+export type TransactionHooks = {
+	/** Called when a transaction begins. */
+	readonly isReadOnlyByDefault: () => boolean;
+	/** Called when a transaction has ended. */
+	readonly handleEnd: (hasCommitted: boolean) => void;
+};
+
+/** Creates the transaction state of a session. */
+export function createSessionTransaction(database: Database, {isReadOnlyByDefault, handleEnd}: TransactionHooks): SessionTransaction {
 	const owner: LockOwner = {id: Symbol('transaction')};
 	let block: BlockState = 'none';
 	let isReadOnly = false;
 	let effects: Effect[] = [];
 	let savepoints: Savepoint[] = [];
 
-	function endWithRollback(): void {
+	function endBlock(hasCommitted: boolean): void {
 		block = 'none';
 		isReadOnly = false;
 		effects = [];
 		savepoints = [];
 		database.locks.release(owner);
+		handleEnd(hasCommitted);
+	}
+
+	function endWithRollback(): void {
+		endBlock(false);
 	}
 
 	function endWithCommit(): LogPosition {
-		const pending = effects;
+		let hasCommitted = false;
 		try {
-			return database.commit(pending);
+			const position = database.commit(effects);
+			hasCommitted = true;
+			return position;
 		} finally {
-			endWithRollback();
+			endBlock(hasCommitted);
 		}
 	}
 
