Do not believe a SET that its database has undone

A session whose SET was followed by an error in the same request, before its Sync, went on under the value that the database had rolled back: `SHOW` would have told the old value, the next connection got the new one.

The command tag of SET arrived before the error, and was taken as the outcome. Now an error in the request counts as well, and SET that is executed before a Flush, where the error may come in a later request, is refused (0A000) as it is beside other statements.

--- a/packages/heatherpond-postgres/src/client-session.ts
+++ b/packages/heatherpond-postgres/src/client-session.ts
@@ -190,8 +190,9 @@
 
 function checkSupported(request: ClientRequest): void {
 	const refused = request.statements.find(statement => statement.kind === 'unsupported');
-	if (request.statements.length > 1 && request.statements.some(({kind}) => kind === 'variable')) {
-		throw new UnsupportedStatementError('SET together with other statements cannot be used through transaction pooling');
+	const isWithOthers = request.statements.length > 1 || (request.end === 'flush' && request.steps.some(({kind}) => kind === 'execute'));
+	if (isWithOthers && request.statements.some(({kind}) => kind === 'variable')) {
+		throw new UnsupportedStatementError('SET together with other statements, or before Flush, cannot be used through transaction pooling');
 	}
 
 	if (refused) {
--- a/packages/heatherpond-postgres/src/request-exchange.ts
+++ b/packages/heatherpond-postgres/src/request-exchange.ts
@@ -65,7 +65,8 @@
 		const end = request.end === 'flush' && encoded.isComplete()
 			? {point: {term: 0, position: 0n}}
 			: await connection.exchange(encoded.messages, answer.take, running.deadline, {onChunkEnd: answer.handleChunkEnd, isComplete: request.end === 'flush' ? encoded.isComplete : undefined});
-		if (variable && answer.readTag() === 'SET' && answer.readDiscardReason() === undefined) {
+		// An error behind SET, in the same request, has undone it.
+		if (variable && answer.readTag() === 'SET' && !encoded.hasFailed() && answer.readDiscardReason() === undefined) {
 			context.settings = applyVariable(context.settings, variable);
 			connection.statements.variables = context.settings.variablesText;
 		}
