Give connections the variables that their session has set

`SET a.one TO '1' -- note` followed by `SET a.two TO '2'` left a.two unset on the next connection: the texts are joined into one query, and the comment went on to its end. `SET timezone` and `SET "TimeZone"` were two variables, replayed in the order of their first SET, so an older value won; RESET of one left the other. `SET heatherpond.once TO 0` was read as no key, and of a list the first item was taken.

Texts are joined with a line end before the separator, which ends such a comment, and are not trimmed (JavaScript's blanks are letters to PostgreSQL). Names are folded as PostgreSQL folds them, also quoted ones. Zero is a value, and a list for a setting of the proxy is refused. Only PostgreSQL's blanks make an empty query.

classify.ts gives up its part on SET to classify-setting.ts.

--- a/packages/heatherpond-postgres/src/classify.ts
+++ b/packages/heatherpond-postgres/src/classify.ts
@@ -1,6 +1,7 @@
 /** Classifies SQL statements with PostgreSQL's own parser; results are cached by query text. */
 import {loadModule, parseSync} from 'libpg-query';
 import {LRUCache} from 'lru-cache';
+import {classifySet, classifyShow} from './classify-setting.js';
 
 /** How the proxy handles a statement. */
 export type StatementKind
@@ -9,7 +10,7 @@
 /** Class of one statement. */
 export type StatementClass = {
 	readonly kind: StatementKind;
-	/** Name of the setting or variable, for the kinds that set, reset or show one. */
+	/** Name of the setting or variable in lower case, for the kinds that set, reset or show one. */
 	readonly settingName?: string;
 	/** Whole query text, for `variable`. */
 	readonly settingText?: string;
@@ -26,10 +27,10 @@
 export type StatementClasses = readonly StatementClass[];
 
 /** Node of the untyped syntax tree. */
-type Tree = Readonly<Record<string, any>>;
+export type Tree = Readonly<Record<string, any>>;
 
-/** Prefix of the names of the proxy's own settings. */
-export const SETTING_PREFIX = 'heatherpond.';
+/** A text without a statement; only these characters are blanks to PostgreSQL. */
+const BLANK_PATTERN = /^[ \t\n\r\f]*$/v;
 
 const MAX_CACHED_QUERIES = 5000;
 const MAX_CACHED_QUERY_LENGTH = 16_384;
@@ -63,14 +64,14 @@
 }
 
 function parseQueryText(text: string): StatementClasses {
-	if (text.trim() === '') {
+	if (BLANK_PATTERN.test(text)) {
 		return [];
 	}
 
 	try {
 		const tree = parseSync(text) as Tree;
 		const statements = ((tree.stmts ?? []) as Tree[]).map(item => classifyStatement(item.stmt));
-		return statements.map(statement => statement.kind === 'variable' ? {...statement, settingText: text.trim().replace(/;+$/v, '')} : statement);
+		return statements.map(statement => statement.kind === 'variable' ? {...statement, settingText: text} : statement);
 	} catch {
 		return [WRITE];
 	}
@@ -92,7 +93,7 @@
 		}
 
 		case 'VariableShowStmt': {
-			return {kind: body.name.startsWith(SETTING_PREFIX) ? 'showSetting' : 'read', settingName: body.name};
+			return classifyShow(body);
 		}
 
 		case 'DiscardStmt': {
@@ -186,40 +187,6 @@
 	}
 }
 
-function classifySet(body: Tree): StatementClass {
-	const name = String(body.name ?? '');
-	if (body.kind === 'VAR_RESET_ALL') {
-		return {kind: 'resetAll'};
-	}
-
-	if (!name.startsWith(SETTING_PREFIX)) {
-		return classifyVariable(body, name);
-	}
-
-	if (body.kind !== 'VAR_SET_VALUE') {
-		return {kind: 'setting', settingName: name};
-	}
-
-	const constant = body.args?.[0]?.A_Const as Tree | undefined;
-	const value = constant?.sval?.sval ?? constant?.ival?.ival ?? constant?.fval?.fval ?? '';
-	return {kind: 'setting', settingName: name, settingValue: String(value)};
-}
-
-/** Variables that change the privileges of a connection, or that RESET ALL does not reset. */
-const REFUSED_VARIABLES = new Set(['role', 'session_authorization', 'session_replication_role', 'default_transaction_read_only', 'client_encoding', 'SESSION CHARACTERISTICS']);
-
-function classifyVariable(body: Tree, name: string): StatementClass {
-	if (Boolean(body.is_local) || name === 'TRANSACTION') {
-		return WRITE;
-	}
-
-	if (REFUSED_VARIABLES.has(name)) {
-		return {kind: 'unsupported', reason: `SET ${name}`};
-	}
-
-	return {kind: body.kind === 'VAR_SET_VALUE' ? 'variable' : 'resetVariable', settingName: name};
-}
-
 const LOCAL_KINDS = new Set<StatementKind>(['setting', 'showSetting', 'resetVariable', 'resetAll', 'discardAll', 'deallocateAll']);
 
 /** Whether the proxy answers the statement without a database. */
--- a/packages/heatherpond-postgres/src/client-settings.ts
+++ b/packages/heatherpond-postgres/src/client-settings.ts
@@ -122,7 +122,8 @@
 const MAX_VARIABLES_LENGTH = 8192;
 
 function updateVariables(settings: ClientSettings, variables: Readonly<Record<string, string>>): ClientSettings {
-	const variablesText = Object.values(variables).join('; ');
+	// The line end also ends a comment in the text before it.
+	const variablesText = Object.values(variables).join('\n;');
 	if (variablesText.length > MAX_VARIABLES_LENGTH) {
 		throw new SettingError(`the SET statements of the session have ${variablesText.length} characters, at most ${MAX_VARIABLES_LENGTH} are allowed`);
 	}
