Refuse statements that reach other sessions' state on a connection

A client could run and read what other sessions had prepared on a pooled connection (EXPLAIN ANALYZE EXECUTE and CREATE TABLE AS EXECUTE of a name that its content gives; pg_prepared_statements), leave objects in pg_temp that hide the tables of the next session, and turn standard_conforming_strings off or set client_encoding with SET LOCAL or by an UPDATE of pg_settings: the database then read other statements in a text than the proxy, which decides on reads, writes and refusals by its own reading.

The classifier looked for these only at the top of a statement, in writes, by the form TEMP and by exact names. findConnectionStateUse now sees the whole statement, reads as well, and connections are opened with standard_conforming_strings on, whatever the database's default is.

classify.ts gives up connection-state-use.ts.

--- a/packages/heatherpond-postgres/src/classify.ts
+++ b/packages/heatherpond-postgres/src/classify.ts
@@ -1,6 +1,7 @@
 /** Classifies SQL statements with PostgreSQL's own parser; results are cached by query text. */
 import {loadModule, parseSync} from 'libpg-query';
 import {LRUCache} from 'lru-cache';
+import {findConnectionStateUse} from './connection-state-use.js';
 import {classifySet, classifyShow} from './classify-setting.js';
 
 /** How the proxy handles a statement. */
@@ -36,7 +37,6 @@
 const MAX_CACHED_QUERY_LENGTH = 16_384;
 const cache = new LRUCache<string, StatementClasses>({max: MAX_CACHED_QUERIES});
 const WRITE: StatementClass = {kind: 'write'};
-const READ: StatementClass = {kind: 'read'};
 
 /** Functions that are known not to write; a call of any other function makes a statement a write. */
 const READ_ONLY_FUNCTIONS = new Set([
@@ -81,7 +81,7 @@
 	const [kind, body] = Object.entries(statement)[0] as [string, Tree];
 	switch (kind) {
 		case 'SelectStmt': {
-			return isReadOnlyTree(body) ? READ : classifyWrite(body);
+			return classifyOther(statement, isReadOnlyTree(body) ? 'read' : 'write');
 		}
 
 		case 'TransactionStmt': {
@@ -105,7 +105,7 @@
 		}
 
 		case 'DeclareCursorStmt': {
-			return body.options & CURSOR_HOLD ? {kind: 'unsupported', reason: 'DECLARE CURSOR WITH HOLD'} : WRITE; // eslint-disable-line no-bitwise -- the parser returns options as a bit mask
+			return body.options & CURSOR_HOLD ? {kind: 'unsupported', reason: 'DECLARE CURSOR WITH HOLD'} : classifyOther(statement, 'write'); // eslint-disable-line no-bitwise -- the parser returns options as a bit mask
 		}
 
 		// The effects of a DO block on its connection cannot be determined from its text.
@@ -121,7 +121,7 @@
 		}
 
 		default: {
-			return classifyWrite(body);
+			return classifyOther(statement, 'write');
 		}
 	}
 }
@@ -129,34 +129,10 @@
 /** Option bit of a cursor declared WITH HOLD, which outlives its transaction. */
 const CURSOR_HOLD = 0x20;
 
-/** Functions that use or change connection state beyond the transaction. */
-const CONNECTION_FUNCTIONS = new Set([
-	'pg_advisory_lock', 'pg_advisory_lock_shared', 'pg_try_advisory_lock', 'pg_try_advisory_lock_shared', 'currval', 'lastval', 'set_config', 'pg_listening_channels',
-]);
-
-/** Classifies a write; one that leaves state on its connection is unsupported. */
-function classifyWrite(body: Tree): StatementClass {
-	const reason = findConnectionStateUse(body);
-	return reason === undefined ? WRITE : {kind: 'unsupported', reason};
-}
-
-/** Returns a description of the first part of a statement that depends on connection state. */
-function findConnectionStateUse(node: unknown): string | undefined {
-	if (typeof node !== 'object' || node === null) {
-		return undefined;
-	}
-
-	const tree = node as Tree;
-	if (tree.relpersistence === 't') {
-		return 'a temporary table';
-	}
-
-	const name = tree.FuncCall?.funcname.at(-1).String.sval as string | undefined;
-	if (name !== undefined && CONNECTION_FUNCTIONS.has(name)) {
-		return `function ${name}`;
-	}
-
-	return Object.values(tree).map(value => findConnectionStateUse(value)).find(reason => reason !== undefined);
+/** Classifies a statement that is not a transaction command or a setting; one that depends on its connection is unsupported. */
+function classifyOther(statement: Tree, kind: StatementKind): StatementClass {
+	const reason = findConnectionStateUse(statement);
+	return reason === undefined ? {kind} : {kind: 'unsupported', reason};
 }
 
 function classifyTransaction(body: Tree): StatementClass {
--- a/packages/heatherpond-postgres/src/upstream-connection.ts
+++ b/packages/heatherpond-postgres/src/upstream-connection.ts
@@ -86,6 +86,8 @@
 export const POSITION_PARAMETER = 'heatherpond.position';
 
 const POSITION_PREFIX = Buffer.from(`${POSITION_PARAMETER}\0`);
+/** Startup parameters that let a database read SQL as the proxy does, whatever its own defaults are. */
+const SQL_GRAMMAR = {standard_conforming_strings: 'on'};
 /** Maximum size of one message of a response, such as a row, in bytes. */
 const MAX_FRAME_BYTES = 67_108_864;
 const INITIAL_POSITION: LogPosition = {term: 0, position: 0n};
@@ -107,7 +109,9 @@
 	const {member, clock} = options;
 	const channel = createChannel(createConnection({host: member.host, port: member.port, noDelay: true}));
 	const connection = createUpstreamConnection(channel, member, clock);
-	const startup = serialize.startup({user: options.credentials.user, database: options.database, application_name: options.applicationName});
+	const startup = serialize.startup({
+		user: options.credentials.user, database: options.database, application_name: options.applicationName, ...SQL_GRAMMAR,
+	});
 	await connection.exchange([startup], createAuthenticationListener(channel.socket, options.credentials), options.deadline).catch((error: unknown) => {
 		connection.destroy();
 		throw new UpstreamError(`could not connect to database ${member.name}`, {cause: error, props: {wasDispatched: false}});
