--- a/packages/heatherpond-postgres/src/classify.ts
+++ b/packages/heatherpond-postgres/src/classify.ts
@@ -1,6 +1,8 @@
 /** Classifies SQL statements with PostgreSQL's own parser; results are cached by query text. */
 import {loadModule, parseSync} from 'libpg-query';
 import {LRUCache} from 'lru-cache';
+import {findConnectionStateUse} from './connection-state-use.js';
+import {classifySet, classifyShow} from './classify-setting.js';
 
 /** How the proxy handles a statement. */
 export type StatementKind
@@ -9,7 +11,7 @@
 /** Class of one statement. */
 export type StatementClass = {
 	readonly kind: StatementKind;
-	/** Name of the setting or variable, for the kinds that set, reset or show one. */
+	/** Name of the setting or variable in lower case, for the kinds that set, reset or show one. */
 	readonly settingName?: string;
 	/** Whole query text, for `variable`. */
 	readonly settingText?: string;
@@ -26,16 +28,15 @@
 export type StatementClasses = readonly StatementClass[];
 
 /** Node of the untyped syntax tree. */
-type Tree = Readonly<Record<string, any>>;
+export type Tree = Readonly<Record<string, any>>;
 
-/** Prefix of the names of the proxy's own settings. */
-export const SETTING_PREFIX = 'heatherpond.';
+/** A text without a statement; only these characters are blanks to PostgreSQL. */
+const BLANK_PATTERN = /^[ \t\n\r\f]*$/v;
 
 const MAX_CACHED_QUERIES = 5000;
 const MAX_CACHED_QUERY_LENGTH = 16_384;
 const cache = new LRUCache<string, StatementClasses>({max: MAX_CACHED_QUERIES});
 const WRITE: StatementClass = {kind: 'write'};
-const READ: StatementClass = {kind: 'read'};
 
 /** Functions that are known not to write; a call of any other function makes a statement a write. */
 const READ_ONLY_FUNCTIONS = new Set([
@@ -63,14 +64,14 @@
 }
 
 function parseQueryText(text: string): StatementClasses {
-	if (text.trim() === '') {
+	if (BLANK_PATTERN.test(text)) {
 		return [];
 	}
 
 	try {
 		const tree = parseSync(text) as Tree;
 		const statements = ((tree.stmts ?? []) as Tree[]).map(item => classifyStatement(item.stmt));
-		return statements.map(statement => statement.kind === 'variable' ? {...statement, settingText: text.trim().replace(/;+$/v, '')} : statement);
+		return statements.map(statement => statement.kind === 'variable' ? {...statement, settingText: text} : statement);
 	} catch {
 		return [WRITE];
 	}
@@ -80,7 +81,7 @@
 	const [kind, body] = Object.entries(statement)[0] as [string, Tree];
 	switch (kind) {
 		case 'SelectStmt': {
-			return isReadOnlyTree(body) ? READ : classifyWrite(body);
+			return classifyOther(statement, isReadOnlyTree(body) ? 'read' : 'write');
 		}
 
 		case 'TransactionStmt': {
@@ -92,7 +93,7 @@
 		}
 
 		case 'VariableShowStmt': {
-			return {kind: body.name.startsWith(SETTING_PREFIX) ? 'showSetting' : 'read', settingName: body.name};
+			return classifyShow(body);
 		}
 
 		case 'DiscardStmt': {
@@ -104,7 +105,7 @@
 		}
 
 		case 'DeclareCursorStmt': {
-			return body.options & CURSOR_HOLD ? {kind: 'unsupported', reason: 'DECLARE CURSOR WITH HOLD'} : WRITE; // eslint-disable-line no-bitwise -- the parser returns options as a bit mask
+			return body.options & CURSOR_HOLD ? {kind: 'unsupported', reason: 'DECLARE CURSOR WITH HOLD'} : classifyOther(statement, 'write'); // eslint-disable-line no-bitwise -- the parser returns options as a bit mask
 		}
 
 		// The effects of a DO block on its connection cannot be determined from its text.
@@ -120,7 +121,7 @@
 		}
 
 		default: {
-			return classifyWrite(body);
+			return classifyOther(statement, 'write');
 		}
 	}
 }
@@ -128,34 +129,10 @@
 /** Option bit of a cursor declared WITH HOLD, which outlives its transaction. */
 const CURSOR_HOLD = 0x20;
 
-/** Functions that use or change connection state beyond the transaction. */
-const CONNECTION_FUNCTIONS = new Set([
-	'pg_advisory_lock', 'pg_advisory_lock_shared', 'pg_try_advisory_lock', 'pg_try_advisory_lock_shared', 'currval', 'lastval', 'set_config', 'pg_listening_channels',
-]);
-
-/** Classifies a write; one that leaves state on its connection is unsupported. */
-function classifyWrite(body: Tree): StatementClass {
-	const reason = findConnectionStateUse(body);
-	return reason === undefined ? WRITE : {kind: 'unsupported', reason};
-}
-
-/** Returns a description of the first part of a statement that depends on connection state. */
-function findConnectionStateUse(node: unknown): string | undefined {
-	if (typeof node !== 'object' || node === null) {
-		return undefined;
-	}
-
-	const tree = node as Tree;
-	if (tree.relpersistence === 't') {
-		return 'a temporary table';
-	}
-
-	const name = tree.FuncCall?.funcname.at(-1).String.sval as string | undefined;
-	if (name !== undefined && CONNECTION_FUNCTIONS.has(name)) {
-		return `function ${name}`;
-	}
-
-	return Object.values(tree).map(value => findConnectionStateUse(value)).find(reason => reason !== undefined);
+/** Classifies a statement that is not a transaction command or a setting; one that depends on its connection is unsupported. */
+function classifyOther(statement: Tree, kind: StatementKind): StatementClass {
+	const reason = findConnectionStateUse(statement);
+	return reason === undefined ? {kind} : {kind: 'unsupported', reason};
 }
 
 function classifyTransaction(body: Tree): StatementClass {
@@ -186,40 +163,6 @@
 	}
 }
 
-function classifySet(body: Tree): StatementClass {
-	const name = String(body.name ?? '');
-	if (body.kind === 'VAR_RESET_ALL') {
-		return {kind: 'resetAll'};
-	}
-
-	if (!name.startsWith(SETTING_PREFIX)) {
-		return classifyVariable(body, name);
-	}
-
-	if (body.kind !== 'VAR_SET_VALUE') {
-		return {kind: 'setting', settingName: name};
-	}
-
-	const constant = body.args?.[0]?.A_Const as Tree | undefined;
-	const value = constant?.sval?.sval ?? constant?.ival?.ival ?? constant?.fval?.fval ?? '';
-	return {kind: 'setting', settingName: name, settingValue: String(value)};
-}
-
-/** Variables that change the privileges of a connection, or that RESET ALL does not reset. */
-const REFUSED_VARIABLES = new Set(['role', 'session_authorization', 'session_replication_role', 'default_transaction_read_only', 'client_encoding', 'SESSION CHARACTERISTICS']);
-
-function classifyVariable(body: Tree, name: string): StatementClass {
-	if (Boolean(body.is_local) || name === 'TRANSACTION') {
-		return WRITE;
-	}
-
-	if (REFUSED_VARIABLES.has(name)) {
-		return {kind: 'unsupported', reason: `SET ${name}`};
-	}
-
-	return {kind: body.kind === 'VAR_SET_VALUE' ? 'variable' : 'resetVariable', settingName: name};
-}
-
 const LOCAL_KINDS = new Set<StatementKind>(['setting', 'showSetting', 'resetVariable', 'resetAll', 'discardAll', 'deallocateAll']);
 
 /** Whether the proxy answers the statement without a database. */
