Explore the mended setup of connections

Where variables may have changed in an error, connections are reset now; the model calls the same functions as the pooled handle, and the property test runs through it.

--- a/packages/heatherpond-spec/src/connection-setup/format-setup.ts
+++ b/packages/heatherpond-spec/src/connection-setup/format-setup.ts
@@ -2,20 +2,32 @@
 import type {PooledConnection} from 'heatherpond-session';
 import type {ConnectionState, SetupState, SetupStep} from './setup-state.js';
 
+/** Texts of clients and connections: a step leaves all but one or two as they are. */
+const texts = new WeakMap<object, string>();
+
+function readText<Part extends object>(part: Part, format: (part: Part) => string): string {
+	const text = texts.get(part) ?? format(part);
+	texts.set(part, text);
+	return text;
+}
+
+/** Length of a statement in the text of a state, in characters. */
+const MAX_STATEMENT_LENGTH = 20;
+
 /** Formats a state canonically: clients and connections differ in nothing but their names, and so do numbered statements. */
 export function formatSetupState({clients, connections, faults, violation}: SetupState): string {
-	const clientTexts = Object.fromEntries(Object.entries(clients).map(([name, client]) => [name, formatValue(client)]));
+	const clientTexts = Object.fromEntries(Object.entries(clients).map(([name, client]) => [name, readText(client, formatValue)]));
 	return JSON.stringify([
 		Object.values(clientTexts).toSorted(),
-		connections.map(connection => `${formatConnection(connection)} ${connection.holder === undefined ? '' : clientTexts[connection.holder]}`).toSorted(),
+		connections.map(connection => `${readText(connection, formatConnection)} ${connection.holder === undefined ? '' : clientTexts[connection.holder]}`).toSorted(),
 		faults,
 		violation,
 	]);
 }
 
 /**
- * Formats a connection. Where all names are numbers that were counted, no later name equals one of them: then only their order
- * matters, and the database's statements that the proxy does not use are left out.
+ * Formats a connection. Where all names are numbers that were counted, no later name equals one of them: then names do not
+ * matter unless two statements share one, nor do statements of the database that the proxy does not use.
  */
 function formatConnection({pooled, database}: ConnectionState): string {
 	const {upstream: _, preparedCount, statements, ...recorded} = pooled;
@@ -23,8 +35,8 @@
 		return formatValue([recorded, preparedCount, statements, database]);
 	}
 
-	const names = [...new Set(statements.values())].toSorted();
-	const prepared = new Map([...statements].map(([key, name]) => [key, [names.indexOf(name), database.statements[name]]]));
+	const names = [...statements.values()];
+	const prepared = new Map([...statements].map(([key, name]) => [formatBeginning(key), [formatBeginning(database.statements[name]), names.filter(other => other === name).length]]));
 	return formatValue([recorded, database.variables, prepared]);
 }
 
@@ -32,6 +44,11 @@
 	return /^p\d+$/v.test(name) && Number(name.slice(1)) <= preparedCount;
 }
 
+/** Formats the beginning of a statement, by which those of a scope differ. */
+function formatBeginning(text: string | undefined): string | undefined {
+	return text?.slice(0, MAX_STATEMENT_LENGTH);
+}
+
 /** Formats a value independently of the order of entries. */
 function formatValue(value: unknown): string {
 	if (value instanceof Map || value instanceof Set) {
--- a/packages/heatherpond-spec/src/connection-setup/setup-exchange.ts
+++ b/packages/heatherpond-spec/src/connection-setup/setup-exchange.ts
@@ -20,12 +20,16 @@
 	failsWithoutEffect: {body: '', outcome: {kind: 'error', code: 'failed'}, state: 'idle'},
 };
 
+/** The client's name of the statement, if it is a prepared one, and the state of the connection on which it runs. */
+type NeedsOptions = {readonly name?: string; readonly needsLivenessCheck: boolean; readonly isInTransaction: boolean};
+
 /** Reads what a connection must have before a client's statement runs on it. */
-export function readNeeds({statements}: SetupScope, client: ClientState, name: string | undefined, needsLivenessCheck: boolean): RequiredConnectionState {
+export function readNeeds({statements}: SetupScope, client: ClientState, {name, needsLivenessCheck, isInTransaction}: NeedsOptions): RequiredConnectionState {
 	return {
 		variables: new Map(Object.entries(client.variables)),
 		statement: name === undefined ? undefined : statements[client.statements[name]!],
 		needsLivenessCheck,
+		isInTransaction,
 	};
 }
 
@@ -72,6 +76,12 @@
 	return {...connection, pooled, database};
 }
 
+/** Finds a reset of a connection on which a transaction is open. */
+export function findResetViolation(rules: SetupRules, {pooled, holder}: ConnectionState, needs: RequiredConnectionState): string | undefined {
+	const isReset = holder !== undefined && rules.collectSetupCommands(pooled, needs).some(({kind}) => kind === 'reset');
+	return isReset ? SETUP_INVARIANTS.transaction : undefined;
+}
+
 /** Finds what a database violates that runs a client's statement. */
 export function findRunViolation(rules: SetupRules, {pooled, database}: ConnectionState, client: ClientState, statement: PreparedStatement | undefined): string | undefined {
 	const hasSameValues = formatEntries(database.variables) === formatEntries(client.variables);
--- a/packages/heatherpond-spec/src/connection-setup/setup-state.ts
+++ b/packages/heatherpond-spec/src/connection-setup/setup-state.ts
@@ -57,6 +57,7 @@
 	shape: 'an executed statement has the shape that its client prepared',
 	arguments: 'an executed statement has the arguments that its client sent',
 	values: 'a statement runs with the variables that were acknowledged to its client, and no others',
+	transaction: 'no connection is reset while a transaction is open on it',
 } as const;
 
 export const EMPTY_CLIENT: ClientState = {variables: {}, statements: {}};
@@ -69,7 +70,7 @@
 			upstream: {
 				database: 'db', team: 'team', exchange: async () => [], isOpen: () => true, destroy: () => undefined, registerCloseListener: () => undefined,
 			},
-			variables: new Map(), statements: new Map(), preparedCount: 0, idleSince: 0,
+			variables: new Map(), statements: new Map(), statementLength: 0, isSetupKnown: true, preparedCount: 0, idleSince: 0,
 		},
 	};
 }
