--- a/packages/heatherpond-session/src/__tests__/unit/shared-connections.test.ts
+++ b/packages/heatherpond-session/src/__tests__/unit/shared-connections.test.ts
@@ -12,11 +12,13 @@
 } from '../support/test-services.js';
 
 const SEED = 20_261_206;
-const RUNS = 150;
+const RUNS = 250;
 const SESSIONS = 3;
 /** Longer than the idle time after which connections are checked before a write. */
 const IDLE_MS = 600;
 
+const LONG_SHAPE_LENGTH = 9000;
+
 /** What has been acknowledged to a client. */
 type Acknowledged = {readonly variables: Map<string, string>; readonly statements: Map<string, {readonly access: StatementAccess; readonly shape: string}>};
 
@@ -31,11 +33,13 @@
 const name = fc.constantFrom('s1', 's2');
 const access = fc.constantFrom<StatementAccess>('read', 'write');
 const text = fc.constantFrom(...TEXTS);
+/** Two long shapes do not fit on a connection. */
+const shape = fc.oneof({weight: 5, arbitrary: text}, {weight: 1, arbitrary: text.map(start => start.padEnd(LONG_SHAPE_LENGTH, '.'))});
 const operation: fc.Arbitrary<Operation> = fc.oneof(
 	{weight: 2, arbitrary: fc.record({kind: fc.constant('set' as const), name: fc.constantFrom('zone', 'mode'), value: text})},
 	{
 		weight: 3, arbitrary: fc.record({
-			kind: fc.constant('prepare' as const), name, access, shape: text,
+			kind: fc.constant('prepare' as const), name, access, shape,
 		}),
 	},
 	{weight: 1, arbitrary: fc.record({kind: fc.constant('deallocate' as const), name})},
