--- a/packages/heatherpond-session/src/__tests__/unit/shared-connections.test.ts
+++ b/packages/heatherpond-session/src/__tests__/unit/shared-connections.test.ts
@@ -2,17 +2,17 @@
 import {describe, expect, test} from '@jest/globals';
 import fc from 'fast-check';
 import {
-	createClientSession, type ClientSession, type StatementAccess, type StatementAction, type UpstreamCommand,
+	createClientSession, type ClientSession, type SessionRoute, type StatementAccess, type StatementAction, type UpstreamCommand,
 } from '../../index.js';
 import {
 	answerCommand, createConnectionState, parseFirstField, type CommandFate, type FakeConnectionState,
 } from '../support/fake-connection-state.js';
 import {
-	createStatement, createTestServices, runUntilSettled, type ScriptedResponse, type TestServices,
+	createRoute, createStatement, createTestServices, runUntilSettled, type ScriptedResponse, type TestServices,
 } from '../support/test-services.js';
 
 const SEED = 20_261_206;
-const RUNS = 250;
+const RUNS = 500;
 const SESSIONS = 3;
 /** Longer than the idle time after which connections are checked before a write. */
 const IDLE_MS = 600;
@@ -64,8 +64,8 @@
 	executions: number;
 };
 
-function createDeployment(fates: readonly CommandFate[]): Deployment {
-	const fixture = createTestServices();
+function createDeployment(consistency: SessionRoute['consistency'], fates: readonly CommandFate[]): Deployment {
+	const fixture = createTestServices(createRoute(consistency));
 	const connections = new Map<number, FakeConnectionState>();
 	const queue = [...fates];
 	const deployment: Deployment = {
@@ -126,7 +126,8 @@
 }
 
 /** Runs an operation as clients do: one that is refused a change of its session reconnects. */
-async function runOperation({fixture, expectations}: Deployment, client: Client, action: Operation): Promise<void> {
+async function runOperation(deployment: Deployment, client: Client, action: Operation): Promise<void> {
+	const {fixture, expectations} = deployment;
 	if (action.kind === 'reconnect') {
 		client.session.stop();
 		Object.assign(client, createClient(fixture));
@@ -143,7 +144,7 @@
 	if (reply.kind === 'done') {
 		recordAcknowledged(client.acknowledged, action);
 	} else if (action.kind === 'set' || action.kind === 'prepare' || action.kind === 'deallocate') {
-		await runOperation({fixture, expectations} as Deployment, client, {kind: 'reconnect'});
+		await runOperation(deployment, client, {kind: 'reconnect'});
 	}
 }
 
@@ -178,19 +179,23 @@
 
 describe('sessions that share connections', () => {
 	// Guards against statements that run in the shape or with the values of another client after a failed setup.
-	test('have their shapes, arguments and values in every statement, whatever becomes of setup commands', async () => {
+	test.each(['primary', 'bounded_staleness'] as const)('on a route of consistency %s have their shapes, arguments and values in every statement', async consistency => {
 		let executions = 0;
+		let databases = new Set<string>();
 		await fc.assert(fc.asyncProperty(fc.array(round, {minLength: 4, maxLength: 20}), fc.array(fate, {maxLength: 30}), async (rounds, fates) => {
-			const deployment = createDeployment(fates);
+			const deployment = createDeployment(consistency, fates);
 			const {fixture, clients} = deployment;
 			for (const {operations, isAfterIdleTime} of rounds) {
+				fixture.positions.recordPrimaryPosition('g', 1, {term: 1, position: 50n}, fixture.clock.readNow());
 				await runUntilSettled(fixture.clock, isAfterIdleTime ? waitMs(fixture, IDLE_MS) : Promise.resolve());
 				await runUntilSettled(fixture.clock, Promise.all(operations.map(async (action, index) => action && runOperation(deployment, clients[index]!, action))));
 			}
 
 			executions += deployment.executions;
+			databases = new Set([...databases, ...fixture.seen.map(({database}) => database)]);
 			expect(deployment.differences).toEqual([]);
 		}), {seed: SEED, numRuns: RUNS});
 		expect(executions).toBeGreaterThan(RUNS);
+		expect(databases.size > 1).toBe(consistency !== 'primary');
 	});
 });
