--- a/packages/heatherpond-spec/src/connection-setup/setup-exchange.ts
+++ b/packages/heatherpond-spec/src/connection-setup/setup-exchange.ts
@@ -10,8 +10,8 @@
 	createConnection, createPooledCopy, SETUP_INVARIANTS, type ClientState, type CommandOutcome, type ConnectionState, type SetupOutcome, type SetupScope,
 } from './setup-state.js';
 
-/** Arguments of every execution; they look like a shape. */
-const ARGUMENTS = 'item write t';
+/** Arguments of every execution; they look like a shape, and hold two blanks in a row. */
+const ARGUMENTS = 'item write  t';
 
 const RESPONSES: Readonly<Record<CommandOutcome, UpstreamResponse>> = {
 	completes: {body: '', outcome: {kind: 'complete'}, state: 'idle'},
--- a/packages/heatherpond-spec/src/connection-setup/setup-mutants.ts
+++ b/packages/heatherpond-spec/src/connection-setup/setup-mutants.ts
@@ -82,10 +82,20 @@
 			return command.kind === 'execute' && name !== undefined ? {...command, name} : SETUP_RULES.createConnectionCommand(connection, command, statement);
 		},
 	}, ACCESS_SCOPE),
+	createMutant({
+		name: 'arguments-split-at-blanks',
+		rule: 'arguments are passed on unchanged',
+		code: `${SETUP_CODE} createConnectionCommand`,
+	}, {
+		createConnectionCommand(connection, command, statement) {
+			const created = SETUP_RULES.createConnectionCommand(connection, command, statement);
+			return created.kind === 'execute' ? {...created, arguments: created.arguments.split(/ +/v).join(' ')} : created;
+		},
+	}),
 	createMutant({
 		name: 'reset-keeps-record',
 		rule: 'a reset clears what is recorded of a connection',
-		code: `${SETUP_CODE} applySetupCommands`,
+		code: `${SETUP_CODE} applyCompletedCommand`,
 	}, {
 		applySetupResponses(connection, commands, responses) {
 			const isReset = (index: number): boolean => commands[index]!.kind === 'reset';
