--- a/packages/heatherpond-session/src/connection-handle.ts
+++ b/packages/heatherpond-session/src/connection-handle.ts
@@ -9,10 +9,12 @@
 import type {UpstreamResponse, UpstreamCommand} from './upstream-connection.js';
 
 /** A client's statement as one host passes it to another; the name of a prepared statement is known where the connection is. */
-export type StepCommand
-	= | Extract<UpstreamCommand, {readonly kind: 'forward'}>
-	/** Execution of the prepared statement that the step needs. */
-		| Omit<Extract<UpstreamCommand, {readonly kind: 'execute'}>, 'name'>;
+export type StepCommand = ForwardCommand | ExecuteStep;
+
+type ForwardCommand = Extract<UpstreamCommand, {readonly kind: 'forward'}>;
+
+/** Execution of the prepared statement that the step needs. */
+export type ExecuteStep = Omit<Extract<UpstreamCommand, {readonly kind: 'execute'}>, 'name'>;
 
 /** One step on a connection: connection setup, opening of a transaction, and a command, in this order; each is optional. */
 export type ConnectionStep = {
