Keep relays by database and team, not by a text made of both

A team called b/c at the database a was given the relays that had been selected for the team c at the database a/b, and a changed list of hosts could be taken for the one before.

Cause: keys of the cache joined names with characters that names may hold.

Evidence: two cases of free-names.test.ts failed before and pass now.

The cache has a map for each database, and compares the hosts as JSON, in which every name ends where it ends.

--- a/packages/heatherpond-fleet/src/__tests__/unit/free-names.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/free-names.test.ts
@@ -1,6 +1,8 @@
 import {describe, expect, test} from '@jest/globals';
 import {createPositionTracker} from 'heatherpond-session';
+import type {HostRecord} from '../../fleet-records.js';
 import {computeOthersUsage, countTeamDemand} from '../../remote-usage.js';
+import {createRelaySelectionCache} from '../../relay-selection-cache.js';
 import {applyReportedPositions} from '../../shared-positions.js';
 
 /** Names that every object has without holding them. */
@@ -17,3 +19,26 @@
 		}).not.toThrow();
 	});
 });
+
+describe('the cache of selected relays', () => {
+	const [first, second] = ['host-1', 'host-2'].map((host): HostRecord => ({
+		host, incarnation: 'i', address: '10.0.0.1', port: 1, domain: 'd', refreshedAt: 0,
+	}));
+
+	// Guards against statements that are sent to the relays of another database.
+	test('tells databases and teams apart whose names make the same text', () => {
+		const cache = createRelaySelectionCache();
+		expect(cache.orderForTeam('a/b', 'c', [first!])).toEqual([first]);
+		expect(cache.orderForTeam('a', 'b/c', [second!])).toEqual([second]);
+	});
+
+	test('tells hosts apart whose names make the same text', () => {
+		const cache = createRelaySelectionCache();
+		const one = [{...first!, host: 'a/i b', incarnation: 'i'}];
+		cache.refresh(one, undefined);
+		cache.findRelays('db', () => one);
+		const two = [{...first!, host: 'a', incarnation: 'i'}, {...second!, host: 'b', incarnation: 'i'}];
+		cache.refresh(two, undefined);
+		expect(cache.findRelays('db', () => two)).toEqual(two);
+	});
+});
--- a/packages/heatherpond-fleet/src/relay-selection-cache.ts
+++ b/packages/heatherpond-fleet/src/relay-selection-cache.ts
@@ -16,7 +16,8 @@
 /** Creates an empty cache. */
 export function createRelaySelectionCache(): RelaySelectionCache {
 	const byDatabase = new Map<string, readonly HostRecord[]>();
-	const byTeam = new Map<string, readonly HostRecord[]>();
+	/** Relays in the order of preference, by database and team. */
+	const byTeam = new Map<string, Map<string, readonly HostRecord[]>>();
 	let basis = '';
 
 	return {
@@ -26,13 +27,13 @@
 			return known;
 		},
 		orderForTeam(database, team, relays) {
-			const key = `${database}/${team}`;
-			const known = byTeam.get(key) ?? orderRelaysForTeam(relays, team);
-			byTeam.set(key, known);
+			const orders = byTeam.get(database) ?? new Map<string, readonly HostRecord[]>();
+			const known = orders.get(team) ?? orderRelaysForTeam(relays, team);
+			byTeam.set(database, orders.set(team, known));
 			return known;
 		},
 		refresh(hosts, contracts) {
-			const current = `${contracts?.version ?? ''} ${hosts.map(({host, incarnation}) => `${host}/${incarnation}`).join(' ')}`;
+			const current = JSON.stringify([contracts?.version, ...hosts.map(({host, incarnation}) => [host, incarnation])]);
 			if (current !== basis) {
 				basis = current;
 				byDatabase.clear();
