Count metrics by the labels themselves, not by a text made of them

Statements of a route called "a served" could be counted as those of the route a, and requests of one team as those of another.

Cause: the key of a series joined labels with blanks, which names may hold.

The key is the JSON of the labels. The library's own keys still join labels with a comma and their names; only a label that holds ",team:" or the like meets another there.

--- a/packages/heatherpond-observe/src/__tests__/unit/metrics.test.ts
+++ b/packages/heatherpond-observe/src/__tests__/unit/metrics.test.ts
@@ -36,4 +36,14 @@
 
 		expect(await metrics.renderMetrics()).toContain('heatherpond_stage_requests{stage="admission",team="durban",group="g"} 2');
 	});
+
+	// Guards against requests of one team that are counted as those of another.
+	test('requests of teams and groups whose names make the same text are counted apart', async () => {
+		const metrics = createMetrics([]);
+		metrics.recordDuration('slot', {team: 'a b', group: 'c'}, 1);
+		metrics.recordDuration('slot', {team: 'a', group: 'b c'}, 1);
+		const text = await metrics.renderMetrics();
+		expect(text).toContain('heatherpond_stage_requests{stage="slot",team="a b",group="c"} 1');
+		expect(text).toContain('heatherpond_stage_requests{stage="slot",team="a",group="b c"} 1');
+	});
 });
--- a/packages/heatherpond-observe/src/__tests__/unit/statement-metrics.test.ts
+++ b/packages/heatherpond-observe/src/__tests__/unit/statement-metrics.test.ts
@@ -32,4 +32,20 @@
 		expect(text.split('\n').filter(line => line.startsWith('heatherpond_statements_total')).length).toBeLessThanOrEqual(401);
 		expect(text).toContain('heatherpond_statements_total{route="other",outcome="served",database="other"} 1600');
 	});
+
+	// Guards against statements of one route that are counted as those of another, whose name has blanks.
+	test('statements whose route, outcome and database make the same text are counted apart, and labels are escaped', async () => {
+		const metrics = createStatementMetrics([]);
+		metrics.recordStatement({
+			route: 'a served', outcome: 'busy', database: 'x', elapsedMs: 1,
+		});
+		metrics.recordStatement({
+			route: 'a', outcome: 'served', database: 'busy x', elapsedMs: 1,
+		});
+		metrics.recordStatement({route: 'line\n"\\', outcome: 'served', elapsedMs: 1});
+		const text = await metrics.renderMetrics();
+		expect(text).toContain('heatherpond_statements_total{route="a served",outcome="busy",database="x"} 1');
+		expect(text).toContain('heatherpond_statements_total{route="a",outcome="served",database="busy x"} 1');
+		expect(text).toContain(String.raw`heatherpond_statements_total{route="line\n\"\\",outcome="served",database=""} 1`);
+	});
 });
--- a/packages/heatherpond-observe/src/metrics.ts
+++ b/packages/heatherpond-observe/src/metrics.ts
@@ -40,7 +40,7 @@
 	});
 
 	function findSeries(stage: RequestStage, {team, group}: MetricSubject): Series {
-		const key = `${stage} ${team} ${group}`;
+		const key = JSON.stringify([stage, team, group]);
 		const existing = series.get(key);
 		if (existing) {
 			return existing;
--- a/packages/heatherpond-observe/src/statement-metrics.ts
+++ b/packages/heatherpond-observe/src/statement-metrics.ts
@@ -44,7 +44,7 @@
 	});
 
 	function findSeries(labels: Labels): Series {
-		const key = `${labels.route} ${labels.outcome} ${labels.database}`;
+		const key = JSON.stringify([labels.route, labels.outcome, labels.database]);
 		const existing = series.get(key);
 		if (existing) {
 			return existing;
