Give groups and hosts keys of their own in the store, whatever their names hold

The suspicion of a host called b/c about the group a took the place of the one of the host c about the group a/b, and a group whose name is longer than 192 bytes, which a registration may give, could have no row, so it got no primary.

Cause: keys joined names with a slash, which they may hold, and the store takes keys of 200 bytes at most.

Slashes and percent signs in the two parts of a key are escaped; what is too long, or looks like that, is replaced by its hash. Keys of ordinary names are those of before, so rows that exist are found.

--- a/packages/heatherpond-fleet/src/apply-fleet-update.ts
+++ b/packages/heatherpond-fleet/src/apply-fleet-update.ts
@@ -5,6 +5,7 @@
 	type ConfirmationRecord, type PrimacyRecord, type SuspicionRecord,
 } from './fleet-records.js';
 import type {FleetState, Versioned} from './fleet-state.js';
+import {formatGroupHostKey} from './row-keys.js';
 import type {RowChange} from './store-port.js';
 import type {TableUpdate} from './table-follower.js';
 
@@ -79,13 +80,13 @@
 
 /** Applies the message of a host that it has confirmed a promotion. */
 export function applyConfirmation(state: FleetState, {host, group, promotionId}: ConfirmationRecord): FleetState {
-	return {...state, confirmations: new Map([...state.confirmations, [`${group}/${host}`, promotionId]])};
+	return {...state, confirmations: new Map([...state.confirmations, [formatGroupHostKey(group, host), promotionId]])};
 }
 
 /** Applies the message of a host that it suspects a primary to have failed, or that it no longer does. */
 export function applySuspicion(state: FleetState, record: SuspicionRecord, isSuspected: boolean): FleetState {
 	const suspicions = new Map(state.suspicions);
-	const name = `${record.group}/${record.host}`;
+	const name = formatGroupHostKey(record.group, record.host);
 	return {...state, suspicions: isSuspected ? suspicions.set(name, record) : removeKey(suspicions, name)};
 }
 
--- a/packages/heatherpond-fleet/src/confirm-promotions.ts
+++ b/packages/heatherpond-fleet/src/confirm-promotions.ts
@@ -11,6 +11,7 @@
 import type {FleetServices} from './fleet-services.js';
 import type {HostContact} from './host-message.js';
 import type {PrimaryWork} from './primary-work.js';
+import {formatGroupHostKey} from './row-keys.js';
 import {StoreError} from './store-port.js';
 
 /** Milliseconds for which statements in flight on the old primary may finish when it is expected to respond. */
@@ -89,7 +90,7 @@
 /** Writes the confirmation to the store, where the host that carries out the promotion reads it. */
 async function writeConfirmation({clock, blackboard, identity, store, writeEvent}: FleetServices, confirmation: ConfirmationRecord, signal: AbortSignal): Promise<void> {
 	const {group, promotionId} = confirmation;
-	const row = {table: FLEET_TABLE, key: `${CONFIRMATION_PREFIX}${group}/${identity.host}`, value: JSON.stringify(confirmation)};
+	const row = {table: FLEET_TABLE, key: `${CONFIRMATION_PREFIX}${formatGroupHostKey(group, identity.host)}`, value: JSON.stringify(confirmation)};
 	const isCurrent = (): boolean => blackboard.read().primacies.get(group)?.record.promotion?.id === promotionId;
 	while (!signal.aborted && isCurrent()) {
 		const deadline: Deadline = clock.readNow() + STORE_TIMEOUT_MS;
--- a/packages/heatherpond-fleet/src/evacuation-records.ts
+++ b/packages/heatherpond-fleet/src/evacuation-records.ts
@@ -7,6 +7,7 @@
 import type {FleetServices} from './fleet-services.js';
 import type {FleetState} from './fleet-state.js';
 import {findNextPoll, PEER_POLL_INTERVAL_MS} from './poll-schedule.js';
+import {formatRowKey} from './row-keys.js';
 import {StoreError} from './store-port.js';
 
 /** Dependencies of the records. */
@@ -33,7 +34,7 @@
 
 		try {
 			await store.writeRows({
-				expected: [], puts: due.map(record => ({table: FLEET_TABLE, key: `${EVACUATION_PREFIX}${record.domain}`, value: JSON.stringify(record)})), removed: [],
+				expected: [], puts: due.map(record => ({table: FLEET_TABLE, key: formatRowKey(EVACUATION_PREFIX, record.domain), value: JSON.stringify(record)})), removed: [],
 			}, clock.readNow() + STORE_TIMEOUT_MS);
 			writeEvent('evacuations_recorded', {domains: due.map(({domain}) => domain).join(',')});
 			refreshFleet();
--- a/packages/heatherpond-fleet/src/fleet-records.ts
+++ b/packages/heatherpond-fleet/src/fleet-records.ts
@@ -8,11 +8,11 @@
 
 /** Key of the promotion lease. */
 export const PROMOTION_LEASE_KEY = 'duty';
-/** Prefix of the primacy record of a group; the group name follows. */
+/** Prefix of the primacy record of a group; the group name follows, as `formatRowKey` forms it. */
 export const PRIMACY_PREFIX = 'primacy/';
-/** Prefix of confirmations; `group/host` follows. */
+/** Prefix of confirmations; group and host follow, as `formatGroupHostKey` forms them. */
 export const CONFIRMATION_PREFIX = 'confirmed/';
-/** Prefix of suspicions; `group/host` follows. */
+/** Prefix of suspicions; group and host follow, as `formatGroupHostKey` forms them. */
 export const SUSPICION_PREFIX = 'suspected/';
 
 /** Prefix of the record of an evacuated failure domain; its name follows. */
--- a/packages/heatherpond-fleet/src/fleet-state.ts
+++ b/packages/heatherpond-fleet/src/fleet-state.ts
@@ -38,9 +38,9 @@
 	readonly leaseVerifiedAt: ReadonlyMap<string, Instant>;
 	/** The promotion lease. */
 	readonly duty?: Versioned<PromotionLeaseRecord>;
-	/** Id of the last promotion that a host has confirmed, by `group/host`. */
+	/** Id of the last promotion that a host has confirmed, by `formatGroupHostKey`. */
 	readonly confirmations: ReadonlyMap<string, string>;
-	/** Suspicions of failed primaries, by `group/host`. */
+	/** Suspicions of failed primaries, by `formatGroupHostKey`. */
 	readonly suspicions: ReadonlyMap<string, SuspicionRecord>;
 	/** Confirmations of this host, by group. */
 	readonly ownConfirmations: ReadonlyMap<string, OwnConfirmation>;
--- a/packages/heatherpond-fleet/src/index.ts
+++ b/packages/heatherpond-fleet/src/index.ts
@@ -59,3 +59,4 @@
 export * from './usage-report.js';
 export * from './versioned-store.js';
 export * from './wait-for-state.js';
+export * from './row-keys.js';
--- a/packages/heatherpond-fleet/src/initial-primaries.ts
+++ b/packages/heatherpond-fleet/src/initial-primaries.ts
@@ -2,6 +2,7 @@
 import {FLEET_TABLE, PRIMACY_PREFIX, type PrimacyRecord} from './fleet-records.js';
 import type {FleetServices} from './fleet-services.js';
 import type {FleetState} from './fleet-state.js';
+import {formatRowKey} from './row-keys.js';
 import type {Upstream} from './upstream.js';
 
 const STORE_TIMEOUT_MS = 600;
@@ -24,7 +25,7 @@
 		const record: PrimacyRecord = {
 			group, term: status.term, primary: id, era: blackboard.read().storeEra,
 		};
-		const row = {table: FLEET_TABLE, key: `${PRIMACY_PREFIX}${group}`};
+		const row = {table: FLEET_TABLE, key: formatRowKey(PRIMACY_PREFIX, group)};
 		const result = await store.writeRows({expected: [{...row, version: 0}], puts: [{...row, value: JSON.stringify(record)}], removed: []}, clock.readNow() + STORE_TIMEOUT_MS);
 		writeEvent('first_primary', {
 			group, database: id, term: status.term, outcome: result.kind,
--- a/packages/heatherpond-fleet/src/memory-store.ts
+++ b/packages/heatherpond-fleet/src/memory-store.ts
@@ -1,5 +1,7 @@
 /** In-memory store for tests and development, with conditional writes, history truncation and fault injection. */
+import {Buffer} from 'node:buffer';
 import type {Clock, Instant} from 'heatherpond-core';
+import {MAX_ROW_KEY_BYTES} from './row-keys.js';
 import {
 	createStoreError, type RowChange, type StorePort, type StoreTransaction, type TransactionResult,
 } from './store-port.js';
@@ -80,6 +82,10 @@
 	}
 
 	function applyTransaction({expected, puts, removed}: StoreTransaction): TransactionResult {
+		if ([...expected, ...puts, ...removed].some(({key}) => Buffer.byteLength(key) > MAX_ROW_KEY_BYTES)) {
+			throw createStoreError('a row key exceeds the maximum length', 'refused');
+		}
+
 		const isMet = expected.every(row => {
 			const known = findTable(row.table).get(row.key);
 			return (known?.value === undefined ? 0 : known.version) === row.version;
--- a/packages/heatherpond-fleet/src/primary-failure-detector.ts
+++ b/packages/heatherpond-fleet/src/primary-failure-detector.ts
@@ -9,6 +9,7 @@
 import {applySuspicion} from './apply-fleet-update.js';
 import {FLEET_TABLE, SUSPICION_PREFIX, type SuspicionRecord} from './fleet-records.js';
 import type {FleetServices} from './fleet-services.js';
+import {formatGroupHostKey} from './row-keys.js';
 import {StoreError} from './store-port.js';
 
 /** Failure detector for the primaries that this host uses. */
@@ -153,7 +154,7 @@
 		return false;
 	}
 
-	const row = {table: FLEET_TABLE, key: `${SUSPICION_PREFIX}${record.group}/${identity.host}`};
+	const row = {table: FLEET_TABLE, key: `${SUSPICION_PREFIX}${formatGroupHostKey(record.group, identity.host)}`};
 	try {
 		await store.writeRows({expected: [], puts: isSuspected ? [{...row, value: JSON.stringify(record)}] : [], removed: isSuspected ? [] : [row]}, clock.readNow() + STORE_TIMEOUT_MS);
 		return true;
--- a/packages/heatherpond-fleet/src/promotion-decisions.ts
+++ b/packages/heatherpond-fleet/src/promotion-decisions.ts
@@ -4,6 +4,7 @@
 import type {DatabaseStatus} from './database-control-port.js';
 import type {HostRecord, PrimacyRecord} from './fleet-records.js';
 import type {FleetState} from './fleet-state.js';
+import {formatGroupHostKey} from './row-keys.js';
 import {isAcceptingWork, type Upstream} from './upstream.js';
 
 /** Milliseconds of its own clock for which a host considers itself registered after a refresh. */
@@ -74,7 +75,7 @@
 
 /** Returns whether every host that may rely on the old primary has confirmed the promotion. */
 export function isConfirmed(state: FleetState, {group, promotion}: PrimacyRecord, liveHosts: readonly string[]): boolean {
-	return promotion !== undefined && liveHosts.every(host => state.confirmations.get(`${group}/${host}`) === promotion.id);
+	return promotion !== undefined && liveHosts.every(host => state.confirmations.get(formatGroupHostKey(group, host)) === promotion.id);
 }
 
 /** A database and the status that it reported. */
--- a/packages/heatherpond-fleet/src/promotion-run.ts
+++ b/packages/heatherpond-fleet/src/promotion-run.ts
@@ -17,6 +17,7 @@
 import {
 	createHomeCheck, findCandidate, findPromotedDatabase, findLiveHosts, isConfirmed, type PolledDatabase,
 } from './promotion-decisions.js';
+import {formatRowKey} from './row-keys.js';
 import type {Upstream} from './upstream.js';
 import {waitForState} from './wait-for-state.js';
 
@@ -126,7 +127,7 @@
 
 async function writePrimacy(services: FleetServices, {record: {group}, version}: Versioned<PrimacyRecord>, record: PrimacyRecord): Promise<Versioned<PrimacyRecord> | undefined> {
 	const {store, clock, blackboard, sendPrimacy} = services;
-	const row = {table: FLEET_TABLE, key: `${PRIMACY_PREFIX}${group}`};
+	const row = {table: FLEET_TABLE, key: formatRowKey(PRIMACY_PREFIX, group)};
 	const result = await store.writeRows({expected: [{...row, version}], puts: [{...row, value: JSON.stringify(record)}], removed: []}, clock.readNow() + STORE_TIMEOUT_MS);
 	if (result.kind === 'conflict') {
 		return undefined;
@@ -197,7 +198,7 @@
 	try {
 		const {rows} = await store.readTable(FLEET_TABLE, clock.readNow() + STORE_TIMEOUT_MS);
 		const values = new Map(rows.map(({key, value}) => [key, value]));
-		const current = parseRecord(primacySchema, values.get(`${PRIMACY_PREFIX}${record.group}`) ?? '');
+		const current = parseRecord(primacySchema, values.get(formatRowKey(PRIMACY_PREFIX, record.group)) ?? '');
 		const lease = parseRecord(promotionLeaseSchema, values.get(PROMOTION_LEASE_KEY) ?? '');
 		const isKept = current?.promotion?.id === promotion && lease?.incarnation === identity.incarnation && lease.fence === fence;
 		if (!isKept) {
--- a/packages/heatherpond-fleet/src/record-affirmations.ts
+++ b/packages/heatherpond-fleet/src/record-affirmations.ts
@@ -6,6 +6,7 @@
 import type {FleetServices} from './fleet-services.js';
 import type {FleetState, Versioned} from './fleet-state.js';
 import {isAffirmed} from './primacy.js';
+import {formatRowKey} from './row-keys.js';
 import {decideAffirmation} from './store-restore.js';
 import {readEra} from './store-version.js';
 import type {Upstream} from './upstream.js';
@@ -59,7 +60,7 @@
 async function writeAffirmed(services: FleetServices, {storeEra}: FleetState, affirmed: ReadonlyArray<Versioned<PrimacyRecord>>): Promise<void> {
 	const {store, clock, blackboard, sendPrimacy, refreshFleet, writeEvent} = services;
 	const rows = affirmed.map(({record, version}) => ({
-		table: FLEET_TABLE, key: `${PRIMACY_PREFIX}${record.group}`, version: readEra(version) === storeEra ? version : 0, value: JSON.stringify(record),
+		table: FLEET_TABLE, key: formatRowKey(PRIMACY_PREFIX, record.group), version: readEra(version) === storeEra ? version : 0, value: JSON.stringify(record),
 	}));
 	const result = await store.writeRows({expected: rows, puts: rows, removed: []}, clock.readNow() + STORE_TIMEOUT_MS);
 	writeEvent('primaries_affirmed', {
--- a/packages/heatherpond-fleet/src/submit-primacies.ts
+++ b/packages/heatherpond-fleet/src/submit-primacies.ts
@@ -5,6 +5,7 @@
 } from './fleet-records.js';
 import type {FleetServices} from './fleet-services.js';
 import type {FleetState} from './fleet-state.js';
+import {formatRowKey} from './row-keys.js';
 import type {StoreTransaction} from './store-port.js';
 
 /** A record, and the row version that it replaces. */
@@ -22,11 +23,11 @@
 	const transaction: StoreTransaction = {
 		expected: [
 			{table: FLEET_TABLE, key: PROMOTION_LEASE_KEY, version: state.duty?.version ?? 0},
-			...changes.map(({record, expected}) => ({table: FLEET_TABLE, key: `${PRIMACY_PREFIX}${record.group}`, version: expected})),
+			...changes.map(({record, expected}) => ({table: FLEET_TABLE, key: formatRowKey(PRIMACY_PREFIX, record.group), version: expected})),
 		],
 		puts: [
 			{table: FLEET_TABLE, key: PROMOTION_LEASE_KEY, value: JSON.stringify(promotionLease)},
-			...changes.map(({record}) => ({table: FLEET_TABLE, key: `${PRIMACY_PREFIX}${record.group}`, value: JSON.stringify(record)})),
+			...changes.map(({record}) => ({table: FLEET_TABLE, key: formatRowKey(PRIMACY_PREFIX, record.group), value: JSON.stringify(record)})),
 		],
 		removed: [],
 	};
