Fail only the step that is too long for a link between hosts

One client's statement of a megabyte of control characters, or its large session values, closed the link to a relay for all clients whose statements were under way on it; their writes were in doubt, and the relay was avoided.

Cause: JSON writes such a character in six, and the link counts what arrives after that, with room for four; a text that was longer was sent all the same.

A link carries 8 Mi characters, which holds every message that the wire allows, and both ends check the length before they send: a longer step is refused as unsendable, a longer response as one for which there is no memory.

--- a/packages/heatherpond-fleet/src/host-links.ts
+++ b/packages/heatherpond-fleet/src/host-links.ts
@@ -1,5 +1,11 @@
 /** Port to the connections between hosts. Each link carries text messages in both directions, in order. */
 
+/**
+ * Maximum length of a message, in characters; a longer one closes the link. A statement and its response are at most 1 MiB each, of
+ * which JSON writes every byte in six characters at the worst.
+ */
+export const MAX_LINK_TEXT_LENGTH = 8_388_608;
+
 /** A connection to another host, which may still be opening. */
 export type HostLink = {
 	/** Sends a message, which is queued until the link is open. */
--- a/packages/heatherpond-fleet/src/index.ts
+++ b/packages/heatherpond-fleet/src/index.ts
@@ -21,7 +21,7 @@
 export * from './fleet-records.js';
 export type * from './fleet-services.js';
 export * from './fleet-state.js';
-export type * from './host-links.js';
+export * from './host-links.js';
 export * from './host-discovery.js';
 export * from './host-figures.js';
 export * from './host-list.js';
--- a/packages/heatherpond-fleet/src/memory-links.ts
+++ b/packages/heatherpond-fleet/src/memory-links.ts
@@ -1,6 +1,6 @@
-/** In-memory links between hosts. Messages arrive in order after a fixed latency; a link can drop messages or close. */
+/** In-memory links between hosts. Messages arrive in order after a fixed latency; a link can drop messages or close, and one that is too long closes it. */
 import type {FakeClock} from 'heatherpond-core';
-import type {HostLink, HostLinkPort} from './host-links.js';
+import {MAX_LINK_TEXT_LENGTH, type HostLink, type HostLinkPort} from './host-links.js';
 
 /** One-way latency of a message, in milliseconds. */
 export const LINK_LATENCY_MS = 2;
@@ -75,7 +75,11 @@
 					if (!isClosed && !isLost(addresses)) {
 						clock.registerTimer(clock.readNow() + LINK_LATENCY_MS, () => {
 							handleAt(target, () => {
-								other?.deliver(text);
+								if (text.length > MAX_LINK_TEXT_LENGTH) {
+									close();
+								} else {
+									other?.deliver(text);
+								}
 							});
 						});
 					}
--- a/packages/heatherpond-fleet/src/relay-client.ts
+++ b/packages/heatherpond-fleet/src/relay-client.ts
@@ -4,7 +4,7 @@
 	createExpiredError, createOverloadError, createUpstreamError, type ConnectionHandle, type ConnectionRequest, type StepResult, type UpstreamFailure, type ConnectionStep, type WriteEvent,
 } from 'heatherpond-session';
 import type {HostRecord} from './fleet-records.js';
-import type {HostLink, HostLinkPort} from './host-links.js';
+import {MAX_LINK_TEXT_LENGTH, type HostLink, type HostLinkPort} from './host-links.js';
 import {formatRelayMessage, parseRelayMessage, type EncodedStep} from './relay-messages.js';
 import {createRelayedConnection, type StepMessage} from './relayed-connection.js';
 
@@ -222,7 +222,12 @@
 			return await new Promise<StepResult>((resolve, reject) => {
 				relayLink.waiting.set(loan, {resolve, reject});
 				message.step.relayDeadline = convertDeadline(relayLink, deadline);
-				relayLink.link.send(formatRelayMessage(message));
+				const text = formatRelayMessage(message);
+				if (text.length > MAX_LINK_TEXT_LENGTH) {
+					throw createUpstreamError('the step is longer than what a link carries', 'unsendable', false);
+				}
+
+				relayLink.link.send(text);
 			});
 		} finally {
 			stopTimers.forEach(stop => {
--- a/packages/heatherpond-fleet/src/relay-server.ts
+++ b/packages/heatherpond-fleet/src/relay-server.ts
@@ -3,7 +3,7 @@
 import {
 	CONNECTION_PART_BYTES, createConnectionMemory, createOverloadError, createUpstreamError, UpstreamError, type ConnectionHandle, type MessageMemory, type Primary, type StepResult, type UpstreamsPort, type WriteEvent,
 } from 'heatherpond-session';
-import type {HostLink, HostLinkPort} from './host-links.js';
+import {MAX_LINK_TEXT_LENGTH, type HostLink, type HostLinkPort} from './host-links.js';
 import {
 	encodeStepEnd, decodeStep, formatRelayMessage, parseRelayMessage, type RelayMessage,
 } from './relay-messages.js';
@@ -71,14 +71,19 @@
 	const {clock, writeEvent} = options;
 	const servedConnections = new Map<number, ServedConnection>();
 
-	function send(message: RelayMessage): void {
-		link.send(formatRelayMessage(message));
-	}
-
-	/** Sends the result of a step, or a sign of life, with what the clock says. */
+	/**
+	 * Sends the result of a step, or a sign of life, with what the clock says.
+	 *
+	 * @throws UpstreamError when the result is longer than what a link carries
+	 */
 	function sendTimed(message: UntimedMessage): void {
 		// Rounded down, what the clock says stays true, and the message short.
-		send({...message, sentAt: Math.floor(clock.readNow())});
+		const text = formatRelayMessage({...message, sentAt: Math.floor(clock.readNow())});
+		if (text.length > MAX_LINK_TEXT_LENGTH) {
+			throw createUpstreamError('the response is longer than what a link carries', 'no_memory', true);
+		}
+
+		link.send(text);
 	}
 
 	/** Cancels what waits for a connection, and releases it. */
--- a/packages/heatherpond-fleet/src/tcp-links.ts
+++ b/packages/heatherpond-fleet/src/tcp-links.ts
@@ -3,7 +3,7 @@
 import {StringDecoder} from 'node:string_decoder';
 import {startListening} from 'heatherpond-core';
 import type {WriteEvent} from 'heatherpond-session';
-import type {HostLink, HostLinkPort} from './host-links.js';
+import {MAX_LINK_TEXT_LENGTH, type HostLink, type HostLinkPort} from './host-links.js';
 
 /** Settings of the listener. */
 export type TcpLinksOptions = {
@@ -14,9 +14,6 @@
 	readonly signal: AbortSignal;
 };
 
-/** Maximum length of an incomplete message, in characters: a statement and its response are at most 1 MiB each, before JSON escaping. */
-const MAX_TEXT_LENGTH = 4_194_304;
-
 /** Starts to listen for links; resolves when the port is open. */
 export async function startTcpLinks({address, port, writeEvent, signal}: TcpLinksOptions): Promise<HostLinkPort> {
 	let handleLink: (link: HostLink) => void = link => {
@@ -50,7 +47,7 @@
 	socket.on('data', chunk => {
 		const lines = (partial + decoder.write(chunk)).split('\n');
 		partial = lines.pop()!;
-		if (partial.length > MAX_TEXT_LENGTH) {
+		if (partial.length > MAX_LINK_TEXT_LENGTH) {
 			destroy();
 			return;
 		}
