Keep each event one line of a timeline, whatever its names hold

A team or group whose name holds a line feed wrote further lines, and so events that nobody recorded, into the timeline that heatherpondctl prints.

Evidence: a case of event-recorder.test.ts failed before and passes now.

Logger and timeline share the formatting of texts.

--- a/packages/heatherpond-observe/src/__tests__/unit/event-recorder.test.ts
+++ b/packages/heatherpond-observe/src/__tests__/unit/event-recorder.test.ts
@@ -2,7 +2,7 @@
 import type {FleetEvent} from 'heatherpond-core';
 import {collectTimeline, eventFilterSchema} from '../../event-filter.js';
 import {createEventRecorder, type EventRecorder} from '../../event-recorder.js';
-import {parseEventLines} from '../../event-text.js';
+import {formatEvent, parseEventLines} from '../../event-text.js';
 import {createHybridClock} from '../../hybrid-clock.js';
 import {createLogger} from '../../logger.js';
 
@@ -43,6 +43,13 @@
 		expect(parseEventLines(`${lines.join('\n')}\nnoise`)).toEqual(recorder.readEvents().filter(event => event.kind === 'promotionStep'));
 	});
 
+	// Guards against events that nobody recorded, in a timeline whose names hold line ends.
+	test('an event is one line of a timeline, whatever its names hold', () => {
+		const {recorder} = createHost('h4', 'silent');
+		recorder.recordEvent('requestRefused', {team: 'a\n2026-01-01T00:00:00.000Z +0  h1  promotionStep  group=g', reason: 'over_rate'});
+		expect(formatEvent(recorder.readEvents()[0]!)).not.toMatch(/[\p{Cc}\p{Zl}\p{Zp}]/v);
+	});
+
 	test('events are parsed back from JSON lines', () => {
 		const {recorder} = createHost('h3', 'silent');
 		recorder.recordEvent('requestRefused', {team: 'durban', reason: 'over_rate'});
--- a/packages/heatherpond-observe/src/event-text.ts
+++ b/packages/heatherpond-observe/src/event-text.ts
@@ -1,6 +1,7 @@
 /** Parses events from saved log lines, and formats events as human-readable lines. */
 import {fleetEventSchema, type FleetEvent} from 'heatherpond-core';
 import logfmt from 'logfmt';
+import {formatFieldText} from './field-text.js';
 import {parseHybridTime} from './hybrid-clock.js';
 
 /** Event fields that logfmt lines contain as text and that are numbers. */
@@ -38,10 +39,10 @@
 	const {kind, at, ...subject} = event;
 	const time = new Date(at.wallMs).toISOString();
 	const fields = logfmt.stringify(Object.fromEntries(Object.entries(subject).filter(([, value]) => value !== undefined).map(([name, value]) => [name, formatFieldValue(value)])));
-	return `${time} +${at.counter}  ${at.host.padEnd(HOST_WIDTH)} ${kind.padEnd(KIND_WIDTH)} ${fields}`.trimEnd();
+	return `${time} +${at.counter}  ${formatFieldText(at.host).padEnd(HOST_WIDTH)} ${kind.padEnd(KIND_WIDTH)} ${fields}`.trimEnd();
 }
 
-/** Rounds a number to one decimal place; other values are returned unchanged. */
+/** Rounds a number to one decimal place, and makes a text fit for the line. */
 function formatFieldValue(value: string | number): string | number {
-	return typeof value === 'number' ? Math.round(value * 10) / 10 : value;
+	return typeof value === 'number' ? Math.round(value * 10) / 10 : formatFieldText(value);
 }
--- a/packages/heatherpond-observe/src/logger.ts
+++ b/packages/heatherpond-observe/src/logger.ts
@@ -2,6 +2,7 @@
 import process from 'node:process';
 import logfmt from 'logfmt';
 import log, {type LogLevelDesc} from 'loglevel';
+import {formatFieldText} from './field-text.js';
 
 /** Logger of one process. */
 export type Logger = {
@@ -79,16 +80,7 @@
 	debug: log.levels.DEBUG, info: log.levels.INFO, warn: log.levels.WARN, error: log.levels.ERROR,
 };
 
-/** Characters of a field that a line holds; a stack trace fits. */
-const MAX_FIELD_LENGTH = 2048;
-/** Characters that end a line for some reader of it, or that cannot be written. */
-const UNWRITABLE = /[\p{Cc}\p{Zl}\p{Zp}\p{Cs}]/gv;
-
 /** Leaves out undefined fields, and makes the others fit for a line: their texts come from clients, databases and the operator. */
 function convertFields(fields: LogFields): LogFields {
-	return Object.fromEntries(Object.entries(fields).filter(([, value]) => value !== undefined).map(([name, value]) => [name, typeof value === 'string' ? formatText(value) : value]));
-}
-
-function formatText(text: string): string {
-	return text.slice(0, MAX_FIELD_LENGTH).replaceAll(UNWRITABLE, character => String.raw`\u${character.codePointAt(0)!.toString(16).padStart(4, '0')}`);
+	return Object.fromEntries(Object.entries(fields).filter(([, value]) => value !== undefined).map(([name, value]) => [name, typeof value === 'string' ? formatFieldText(value) : value]));
 }
