--- a/packages/heatherpond-fleet/src/__tests__/unit/relay.test.ts
+++ b/packages/heatherpond-fleet/src/__tests__/unit/relay.test.ts
@@ -30,8 +30,8 @@
 	/** When the relay last noticed a suspension. */
 	clockValidFrom: number;
 	refuses: (command: UpstreamCommand) => boolean;
-	/** Response of the database to every command; by default it names the command. */
-	body?: string;
+	/** Responds to a command. */
+	formatBody: (command: UpstreamCommand) => string;
 };
 
 function createFixture(): Fixture {
@@ -66,7 +66,7 @@
 					const isEnd = command.kind === 'rollback' || (command.kind === 'forward' && command.text === 'COMMIT');
 					state = isEnd ? 'idle' : state;
 					return {
-						body: fixture.body ?? `DATAROW ${command.kind}\r\n`, outcome: {kind: 'complete'}, state, point: {term: 3, position: 12_345_678_901_234_567_890n},
+						body: fixture.formatBody(command), outcome: {kind: 'complete'}, state, point: {term: 3, position: 12_345_678_901_234_567_890n},
 					};
 				});
 			},
@@ -88,7 +88,7 @@
 		clock, readMaxConnections: () => 4, isDraining: () => false, random: () => 0, writeEvent: () => undefined, open: async team => createConnection(team),
 	});
 	const fixture: Fixture = {
-		clock, links, pool, sent: [], failures: [], answerMs: ANSWER_MS, isReplaced: false, isStopping: false, clockValidFrom: 0, refuses: () => false,
+		clock, links, pool, sent: [], failures: [], answerMs: ANSWER_MS, isReplaced: false, isStopping: false, clockValidFrom: 0, refuses: () => false, formatBody: ({kind}) => `DATAROW ${kind}\r\n`,
 		client: createRelayClient({clock, links: links.createPort('asker'), writeEvent: () => undefined}),
 	};
 	startRelayServer({
@@ -178,6 +178,19 @@
 		expect(fixture.links.countSentTo('relay')).toBe(texts);
 	});
 
+	// Guards against a link that is closed for all clients, because one of them sends or gets more than it carries.
+	test.each<[string, string, Partial<ConnectionStep>, string]>([
+		['is sent', 'DATAROW x\r\n', {needs: {variables: new Map([['large', '\u0000'.repeat(2_000_000)]])}}, 'unsendable'],
+		['is answered', `DATAROW ${'\u0000'.repeat(2_000_000)}\r\n`, {}, 'no_memory'],
+	])('fails alone when more %s than a link carries', async (_, body, change, failure) => {
+		const fixture = createFixture();
+		fixture.formatBody = command => command.kind === 'forward' && command.text === 'READ small' ? 'DATAROW small\r\n' : body;
+		fixture.answerMs = 100;
+		const small = runStep(fixture, createHandle(fixture), createStep(fixture, 'READ small'));
+		expect(await runStep(fixture, createHandle(fixture), createStep(fixture, 'READ large', change))).toMatchObject({failure, wasSent: failure === 'no_memory'});
+		expect(await small).toMatchObject({kind: 'answered', answer: {body: 'DATAROW small\r\n'}});
+	});
+
 	test('reuses an idle connection of the same team', async () => {
 		const fixture = createFixture();
 		await runStep(fixture, createHandle(fixture), createStep(fixture, 'READ a'));
@@ -237,7 +250,6 @@
 		expect(await runStep(fixture, createHandle(fixture), createStep(fixture, 'WRITE a', {isSentOnce: true}))).toMatchObject({failure: 'relay', wasSent: false});
 	});
 
-	// Guards against a relay that ends at its heap limit because many hosts send it large statements at once.
 	// Guards against one client's message that ends the link of all others.
 	test('whose message is too long for the link fails alone, with a response that is too long as well', async () => {
 		const fixture = createFixture();
@@ -245,9 +257,9 @@
 		await runStep(fixture, other, createStep(fixture, 'READ a', {begin: {isReadOnly: true}, isLast: false}));
 		const text = '\u0001'.repeat(1_500_000);
 		expect(await runStep(fixture, createHandle(fixture), createStep(fixture, text, {isSentOnce: true}))).toMatchObject({failure: 'unsendable', wasSent: false});
-		fixture.body = text;
+		fixture.formatBody = () => text;
 		expect(await runStep(fixture, createHandle(fixture), createStep(fixture, 'READ b'))).toMatchObject({failure: 'no_memory', wasSent: true});
-		fixture.body = undefined;
+		fixture.formatBody = ({kind}) => `DATAROW ${kind}\r\n`;
 		expect(await runStep(fixture, other, createStep(fixture, 'COMMIT'))).toMatchObject({kind: 'answered'});
 	});
 
@@ -259,6 +271,7 @@
 		expect(fixture.sent).toEqual([]);
 	});
 
+	// Guards against a relay that ends at its heap limit because many hosts send it large statements at once.
 	test('is refused by a relay that has no memory for it, while small ones run', async () => {
 		const fixture = createFixture();
 		await runStep(fixture, createHandle(fixture), createStep(fixture, 'WRITE first'));
--- a/packages/heatherpond-fleet/src/host-links.ts
+++ b/packages/heatherpond-fleet/src/host-links.ts
@@ -1,7 +1,10 @@
 /** Port to the connections between hosts. Each link carries text messages in both directions, in order. */
 
-/** Maximum length of a message, in characters; a longer one ends the link on which it arrives. */
-export const MAX_LINK_MESSAGE_LENGTH = 8_388_608;
+/**
+ * Maximum length of a message, in characters; a longer one closes the link. A statement and its response are at most 1 MiB each, of
+ * which JSON writes every byte in six characters at the worst.
+ */
+export const MAX_LINK_TEXT_LENGTH = 8_388_608;
 
 /** A connection to another host, which may still be opening. */
 export type HostLink = {
--- a/packages/heatherpond-fleet/src/relay-client.ts
+++ b/packages/heatherpond-fleet/src/relay-client.ts
@@ -4,7 +4,7 @@
 	createExpiredError, createOverloadError, createUpstreamError, type ConnectionHandle, type ConnectionRequest, type StepResult, type UpstreamFailure, type ConnectionStep, type WriteEvent,
 } from 'heatherpond-session';
 import type {HostRecord} from './fleet-records.js';
-import {MAX_LINK_MESSAGE_LENGTH, type HostLink, type HostLinkPort} from './host-links.js';
+import {MAX_LINK_TEXT_LENGTH, type HostLink, type HostLinkPort} from './host-links.js';
 import {formatRelayMessage, parseRelayMessage, type EncodedStep} from './relay-messages.js';
 import {createRelayedConnection, type StepMessage} from './relayed-connection.js';
 
@@ -211,8 +211,8 @@
 
 		message.step.relayDeadline = convertDeadline(relayLink, deadline);
 		const text = formatRelayMessage(message);
-		if (text.length > MAX_LINK_MESSAGE_LENGTH) {
-			throw createUpstreamError('step is too long to be sent to a relay', 'unsendable', false);
+		if (text.length > MAX_LINK_TEXT_LENGTH) {
+			throw createUpstreamError('the step is longer than what a link carries', 'unsendable', false);
 		}
 
 		const stopTimers = [
--- a/packages/heatherpond-fleet/src/relay-server.ts
+++ b/packages/heatherpond-fleet/src/relay-server.ts
@@ -3,7 +3,7 @@
 import {
 	CONNECTION_PART_BYTES, createConnectionMemory, createOverloadError, createUpstreamError, UpstreamError, type ConnectionHandle, type MessageMemory, type Primary, type StepResult, type UpstreamsPort, type WriteEvent,
 } from 'heatherpond-session';
-import {MAX_LINK_MESSAGE_LENGTH, type HostLink, type HostLinkPort} from './host-links.js';
+import {MAX_LINK_TEXT_LENGTH, type HostLink, type HostLinkPort} from './host-links.js';
 import {
 	encodeStepEnd, decodeStep, formatRelayMessage, parseRelayMessage, type RelayMessage,
 } from './relay-messages.js';
@@ -76,12 +76,16 @@
 	const {clock, writeEvent} = options;
 	const servedConnections = new Map<number, ServedConnection>();
 
-	/** Sends the result of a step, or a sign of life, with what the clock says. */
+	/**
+	 * Sends the result of a step, or a sign of life, with what the clock says.
+	 *
+	 * @throws UpstreamError when the result is longer than what a link carries
+	 */
 	function sendTimed(message: UntimedMessage): void {
 		// Rounded down, what the clock says stays true, and the message short.
 		const text = formatRelayMessage({...message, sentAt: Math.floor(clock.readNow())});
-		if (text.length > MAX_LINK_MESSAGE_LENGTH) {
-			throw createUpstreamError('response is too long to be sent to the host', 'no_memory', true);
+		if (text.length > MAX_LINK_TEXT_LENGTH) {
+			throw createUpstreamError('the response is longer than what a link carries', 'no_memory', true);
 		}
 
 		link.send(text);
--- a/packages/heatherpond-fleet/src/tcp-links.ts
+++ b/packages/heatherpond-fleet/src/tcp-links.ts
@@ -3,7 +3,7 @@
 import {StringDecoder} from 'node:string_decoder';
 import {startListening} from 'heatherpond-core';
 import type {WriteEvent} from 'heatherpond-session';
-import {MAX_LINK_MESSAGE_LENGTH, type HostLink, type HostLinkPort} from './host-links.js';
+import {MAX_LINK_TEXT_LENGTH, type HostLink, type HostLinkPort} from './host-links.js';
 
 /** Settings of the listener. */
 export type TcpLinksOptions = {
@@ -47,7 +47,7 @@
 	socket.on('data', chunk => {
 		const lines = (partial + decoder.write(chunk)).split('\n');
 		partial = lines.pop()!;
-		if (partial.length > MAX_LINK_MESSAGE_LENGTH) {
+		if (partial.length > MAX_LINK_TEXT_LENGTH) {
 			destroy();
 			return;
 		}
