Prepare statements under the variables of the session that runs them

A session that had set DateStyle to DMY and prepared date '01/02/2026' left that reading to all sessions on the connection: another one got the first of February where it had asked for the second of January, and the session itself kept it after COMMIT of a SET LOCAL. PostgreSQL reads such literals when it prepares a statement, but the name stood for the content alone.

In a failed transaction a statement that the connection had was reported as prepared, where PostgreSQL refuses it (25P02).

The connection numbers its statements now and finds them by content and by the text of the variables in force; after SET LOCAL, and while the variables are not known, nothing is shared. Nothing that a client wrote, not even its hash, is part of a name, a number is not used again, and a Parse that failed takes back its own name only.

--- a/packages/heatherpond-postgres/src/__tests__/unit/prepared-statements.test.ts
+++ b/packages/heatherpond-postgres/src/__tests__/unit/prepared-statements.test.ts
@@ -143,7 +143,7 @@
 		}
 
 		const loan = await fixture.pools.acquire('g', fixture.members[0]!, {deadline: Number.MAX_SAFE_INTEGER, signal: new AbortController().signal});
-		expect(loan.connection.statements.named.size).toBeLessThanOrEqual(MAX_CONNECTION_STATEMENTS + 1);
+		expect(loan.connection.statements.countNames()).toBeLessThanOrEqual(MAX_CONNECTION_STATEMENTS + 1);
 		loan.release(true);
 	});
 
--- a/packages/heatherpond-postgres/src/__tests__/unit/upstream-pool.test.ts
+++ b/packages/heatherpond-postgres/src/__tests__/unit/upstream-pool.test.ts
@@ -2,6 +2,7 @@
 	afterEach, beforeEach, describe, expect, test,
 } from '@jest/globals';
 import {createFakeClock, type FakeClock} from 'heatherpond-core';
+import {createConnectionStatements} from '../../connection-statements.js';
 import {
 	applyPooledEvent, INITIAL_STATE, type PooledEvent, type PooledState,
 } from '../../pooled-connection.js';
@@ -36,7 +37,7 @@
 		member: {
 			name: 'a', host: '', port: 1, domain: 'd', slots: 1, connections: 1,
 		},
-		statements: {named: new Set(), unnamed: undefined, variables: ''},
+		statements: createConnectionStatements(),
 		async exchange(_messages, _onFrame, deadline) {
 			return new Promise((resolve, reject) => {
 				if (!isUnresponsive) {
--- a/packages/heatherpond-postgres/src/classify-setting.ts
+++ b/packages/heatherpond-postgres/src/classify-setting.ts
@@ -72,7 +72,7 @@
 	}
 
 	if (isTransactional) {
-		return {kind: 'write'};
+		return {kind: 'write', isLocalSetting: Boolean(body.is_local)};
 	}
 
 	if (body.kind === 'VAR_SET_CURRENT') {
--- a/packages/heatherpond-postgres/src/classify.ts
+++ b/packages/heatherpond-postgres/src/classify.ts
@@ -17,6 +17,8 @@
 	readonly settingText?: string;
 	/** New value, for `setting`; absent to reset it to its default. */
 	readonly settingValue?: string;
+	/** Whether the statement is SET LOCAL. */
+	readonly isLocalSetting?: boolean;
 	/** What transaction pooling does not support, for `unsupported`. */
 	readonly reason?: string;
 };
--- a/packages/heatherpond-postgres/src/connection-variables.ts
+++ b/packages/heatherpond-postgres/src/connection-variables.ts
@@ -11,11 +11,11 @@
  */
 export async function applyConnectionVariables({handle: {connection}}: ConnectionAssignment, running: RunningRequest, variablesText: string): Promise<void> {
 	const {statements} = connection;
-	if (statements.variables === variablesText) {
+	if (statements.readVariables() === variablesText) {
 		return;
 	}
 
-	statements.variables = undefined;
+	statements.updateVariables(undefined);
 	running.cancellation.updateDestroyer(connection.destroy);
 	const {error} = await runQueryText(connection, variablesText === '' ? 'RESET ALL' : `RESET ALL; ${variablesText}`, running.deadline);
 	running.cancellation.updateDestroyer(undefined);
@@ -23,5 +23,5 @@
 		throw createRequestError(error.code, error.message);
 	}
 
-	statements.variables = variablesText;
+	statements.updateVariables(variablesText);
 }
--- a/packages/heatherpond-postgres/src/prepared-statements.ts
+++ b/packages/heatherpond-postgres/src/prepared-statements.ts
@@ -1,6 +1,6 @@
 /**
  * The prepared statements of one session. Transaction pooling may run each request on a different connection, so a named
- * statement is prepared on a connection on first use there, under a name derived from a hash of its content.
+ * statement is prepared on a connection on first use there, under a name of that connection.
  */
 import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
@@ -11,8 +11,9 @@
 
 /** A prepared statement of a session. */
 export type PreparedStatement = {
-	/** Name on upstream connections; empty for the unnamed statement. */
-	readonly upstreamName: string;
+	readonly isNamed: boolean;
+	/** Hash of the definition, by which connections find a named statement; empty for the unnamed one. */
+	readonly contentHash: string;
 	/** Body of the Parse message after the name: query text and parameter types. */
 	readonly definition: Buffer;
 	readonly statements: StatementClasses;
@@ -33,15 +34,16 @@
 /** Maximum total size of the statement definitions of a session, in bytes. */
 export const MAX_STATEMENT_BYTES = 1_048_576;
 
-/** Hex digits of the content hash in a statement name; at 128 bits, collisions are negligible. */
-const NAME_HEX_DIGITS = 32;
-
 /** Creates a prepared statement from the body of a Parse message. */
 export function createPreparedStatement(body: Buffer): {readonly name: string; readonly statement: PreparedStatement} {
 	const {statement: name, text, definition: received} = parseParse(body);
 	const definition = Buffer.from(received);
-	const upstreamName = name === '' ? '' : `hp_${createHash('sha256').update(definition).digest('hex').slice(0, NAME_HEX_DIGITS)}`;
-	return {name, statement: {upstreamName, definition, statements: classifyQueryText(text)}};
+	const isNamed = name !== '';
+	const contentHash = isNamed ? createHash('sha256').update(definition).digest('base64') : '';
+	const statement = {
+		isNamed, contentHash, definition, statements: classifyQueryText(text),
+	};
+	return {name, statement};
 }
 
 /** Creates an empty store. Its map is allocated on the first insertion, because many sessions prepare nothing. */
--- a/packages/heatherpond-postgres/src/request-encoding.ts
+++ b/packages/heatherpond-postgres/src/request-encoding.ts
@@ -4,8 +4,8 @@
 	BACKEND, createCloseComplete, createMessage, createParseComplete, encodeText, FRONTEND, type Frame,
 } from 'heatherpond-wire';
 import type {ClientRequest, RequestStep, SessionNames} from './client-request.js';
+import type {ConnectionStatements, NameAssignment} from './connection-statements.js';
 import type {PreparedStatement} from './prepared-statements.js';
-import type {ConnectionStatements} from './upstream-connection.js';
 
 /** The expected response to one message. */
 type Expectation = {
@@ -59,6 +59,8 @@
 	readonly names: SessionNames;
 	/** Whether a transaction is open on the connection; statements are then not closed, as this would close their portals. */
 	readonly isInTransaction: boolean;
+	/** Whether the transaction has failed; the database then refuses to prepare any statement that does not end it. */
+	readonly hasTransactionFailed: boolean;
 };
 
 /**
@@ -93,32 +95,43 @@
 
 type StepEncoder = {readonly encode: (step: RequestStep) => void; readonly closeOldest: () => void};
 
-function createStepEncoder({statements, names}: EncodingOptions, messages: Buffer[], expectations: Expectation[]): StepEncoder {
-	function appendParse(statement: PreparedStatement, replacement: Buffer | undefined, apply?: () => void): void {
-		const {upstreamName} = statement;
-		messages.push(createMessage(FRONTEND.parse, encodeText(upstreamName), statement.definition));
-		if (upstreamName === '') {
-			statements.unnamed = statement;
-		} else {
-			statements.named.add(upstreamName);
+function createStepEncoder({statements, names, hasTransactionFailed}: EncodingOptions, messages: Buffer[], expectations: Expectation[]): StepEncoder {
+	/** Assigns the unnamed statement, or a new name. */
+	function insertStatement(statement: PreparedStatement): NameAssignment {
+		if (statement.isNamed) {
+			return statements.insertName(statement);
 		}
 
-		expectations.push({
-			end: isParseEnd, replacement, apply, revert() {
-				statements.named.delete(upstreamName);
+		statements.unnamed = statement;
+		return {
+			name: '', revert() {
 				statements.unnamed = undefined;
 			},
+		};
+	}
+
+	/** Appends a Parse message and returns the name in it. */
+	function appendParse(statement: PreparedStatement, replacement: Buffer | undefined, apply?: () => void): string {
+		const {name, revert} = insertStatement(statement);
+		messages.push(createMessage(FRONTEND.parse, encodeText(name), statement.definition));
+		expectations.push({
+			end: isParseEnd, replacement, apply, revert,
 		});
+		return name;
 	}
 
-	function isPrepared(statement: PreparedStatement): boolean {
-		return statement.upstreamName === '' ? statements.unnamed === statement : statements.named.has(statement.upstreamName);
+	/** Finds the name under which a statement is prepared on the connection. */
+	function findName(statement: PreparedStatement): string | undefined {
+		return statement.isNamed ? statements.findName(statement) : (statements.unnamed === statement ? '' : undefined);
 	}
 
-	function appendMissingParse(statement: PreparedStatement): void {
-		if (!isPrepared(statement)) {
-			appendParse(statement, NO_BYTES);
-		}
+	/** Returns the name of a statement, and prepares it if it is not prepared yet. */
+	function resolveName(statement: PreparedStatement): string {
+		return findName(statement) ?? appendParse(statement, NO_BYTES);
+	}
+
+	function isRefused({statements: classes}: PreparedStatement): boolean {
+		return hasTransactionFailed && classes.some(({kind}) => kind !== 'commit' && kind !== 'rollback');
 	}
 
 	function encodeParse({name, statement}: Extract<RequestStep, {kind: 'parse'}>): void {
@@ -126,7 +139,7 @@
 			names.statements.insert(name, statement);
 		}
 
-		if (name !== '' && isPrepared(statement)) {
+		if (name !== '' && findName(statement) !== undefined && !isRefused(statement)) {
 			expectations.push({replacement: createParseComplete(), apply});
 		} else {
 			appendParse(statement, undefined, apply);
@@ -135,8 +148,8 @@
 
 	function encodeBind(step: Extract<RequestStep, {kind: 'bind'}>): void {
 		const {statement, portal} = step;
-		appendMissingParse(statement);
-		messages.push(statement.upstreamName === '' ? step.frame.bytes : createMessage(FRONTEND.bind, encodeText(portal), encodeText(statement.upstreamName), step.rest));
+		const name = resolveName(statement);
+		messages.push(statement.isNamed ? createMessage(FRONTEND.bind, encodeText(portal), encodeText(name), step.rest) : step.frame.bytes);
 		expectations.push({
 			end: isBindEnd, apply() {
 				names.portals.set(portal, statement);
@@ -145,8 +158,8 @@
 	}
 
 	function encodeDescribe({statement, frame}: Extract<RequestStep, {kind: 'describeStatement'}>): void {
-		appendMissingParse(statement);
-		messages.push(statement.upstreamName === '' ? frame.bytes : createMessage(FRONTEND.describe, encodeText(`S${statement.upstreamName}`)));
+		const name = resolveName(statement);
+		messages.push(statement.isNamed ? createMessage(FRONTEND.describe, encodeText(`S${name}`)) : frame.bytes);
 		expectations.push({end: isDescribeEnd});
 	}
 
@@ -186,9 +199,7 @@
 			}
 		},
 		closeOldest() {
-			const excess = Math.max(0, statements.named.size - MAX_CONNECTION_STATEMENTS);
-			[...statements.named].slice(0, excess).forEach(name => {
-				statements.named.delete(name);
+			statements.removeOldest(MAX_CONNECTION_STATEMENTS).forEach(name => {
 				messages.push(createMessage(FRONTEND.close, encodeText(`S${name}`)));
 				expectations.push({end: isCloseEnd, replacement: NO_BYTES});
 			});
--- a/packages/heatherpond-postgres/src/request-exchange.ts
+++ b/packages/heatherpond-postgres/src/request-exchange.ts
@@ -36,12 +36,20 @@
 	const {request} = running;
 	const variable = request.statements.find(statement => statement.kind === 'variable');
 	if (variable) {
-		connection.statements.variables = undefined;
+		connection.statements.updateVariables(undefined);
 	}
 
 	const isInTransaction = mode !== 'alone';
+	if (mode !== 'transaction') {
+		connection.statements.endLocalVariables();
+	}
+
+	if (request.statements.some(({isLocalSetting}) => isLocalSetting)) {
+		connection.statements.startLocalVariables();
+	}
+
 	const encoded = encodeRequest({
-		request, statements: connection.statements, names: context.names, isInTransaction,
+		request, statements: connection.statements, names: context.names, isInTransaction, hasTransactionFailed: assignment.hasFailed,
 	});
 	const answer = createClientResponse({
 		output: context.output,
@@ -68,9 +76,10 @@
 		// An error behind SET, in the same request, has undone it.
 		if (variable && answer.readTag() === 'SET' && !encoded.hasFailed() && answer.readDiscardReason() === undefined) {
 			context.settings = applyVariable(context.settings, variable);
-			connection.statements.variables = context.settings.variablesText;
+			connection.statements.updateVariables(context.settings.variablesText);
 		}
 
+		assignment.hasFailed = end.status === 'E';
 		return {
 			...end, answer, discardReason: answer.readDiscardReason(), hasFailed: encoded.hasFailed(),
 		};
--- a/packages/heatherpond-postgres/src/request-routing.ts
+++ b/packages/heatherpond-postgres/src/request-routing.ts
@@ -74,7 +74,7 @@
 	try {
 		const handle = await services.pools.acquire(name, member, ticket);
 		return {
-			handle, permit, group: name, member, isPrimary, required: settings.token[name], mayHaveWritten: false, hasFlushed: false,
+			handle, permit, group: name, member, isPrimary, required: settings.token[name], mayHaveWritten: false, hasFlushed: false, hasFailed: false,
 		};
 	} catch (error) {
 		running.failed.add(database);
--- a/packages/heatherpond-postgres/src/running-request.ts
+++ b/packages/heatherpond-postgres/src/running-request.ts
@@ -41,4 +41,6 @@
 	mayHaveWritten: boolean;
 	/** Whether responses were sent to the client, after a Flush, before the Sync that commits. */
 	hasFlushed: boolean;
+	/** Whether the transaction on this connection has failed, so that the database refuses all but its end. */
+	hasFailed: boolean;
 };
--- a/packages/heatherpond-postgres/src/upstream-connection.ts
+++ b/packages/heatherpond-postgres/src/upstream-connection.ts
@@ -8,6 +8,7 @@
 import {
 	BACKEND, createFieldReader, createFrameReader, parseServerError, WireError, type Frame, type TransactionStatus,
 } from 'heatherpond-wire';
+import {createConnectionStatements, type ConnectionStatements} from './connection-statements.js';
 import {UpstreamError} from './postgres-error.js';
 import {createAuthenticationListener, type UpstreamCredentials} from './upstream-authentication.js';
 
@@ -43,16 +44,6 @@
 	readonly isComplete?: () => boolean;
 };
 
-/** Prepared statements and session variables of a connection, as the database holds them. */
-export type ConnectionStatements = {
-	/** Names of prepared statements, oldest first. */
-	readonly named: Set<string>;
-	/** Identity of the current unnamed statement. */
-	unnamed: unknown;
-	/** SQL text that set the session variables; `undefined` when their state is unknown. */
-	variables: string | undefined;
-};
-
 /** Connection to a database that has completed its startup. */
 export type UpstreamConnection = {
 	readonly member: Member;
@@ -153,7 +144,7 @@
 
 	return {
 		member,
-		statements: {named: new Set(), unnamed: undefined, variables: ''},
+		statements: createConnectionStatements(),
 		async exchange(messages, onFrame, deadline, hooks) {
 			if (socket.destroyed) {
 				throw new UpstreamError('the connection to the database is closed');
