Read the startup parameter "options" as PostgreSQL does

A client that connected with options=-c a.b=c\\d got c\\d where it had sent c\d, options=-c a.b=c\ d was refused, and of TimeZone and -c timezone=... the one in the options won, where PostgreSQL lets the parameter of its own win.

--- a/packages/heatherpond-postgres/src/startup-parameters.ts
+++ b/packages/heatherpond-postgres/src/startup-parameters.ts
@@ -4,16 +4,14 @@
 } from './client-settings.js';
 import {classifyQueryText} from './classify.js';
 import {createRequestError} from './postgres-error.js';
+import {parseStartupOptions} from './startup-options.js';
 import {SQL_STATE} from './sql-states.js';
 
-type Parameter = readonly [name: string, value: string];
-
 /** Parameters that identify the client or are handled separately, and set no variable. */
 const IDENTITY_PARAMETERS = new Set(['user', 'database', 'application_name', 'fallback_application_name', 'options']);
 
 const ENCODING_PATTERN = /^utf-?8$|^unicode$/iv;
 const NAME_PATTERN = /^[a-z_][\w.]*$/iv;
-const OPTION_PATTERN = /(?:^|\s)(?:-c\s*|--)(?<name>[a-z_][\w.]*)=(?<value>\S*)/giv;
 
 /** Variables that hold a list of names; SET with a single string would take the whole list for one name. */
 const LIST_PARAMETERS = new Set(['search_path', 'temp_tablespaces']);
@@ -24,17 +22,12 @@
  * @throws RequestError for parameters that cannot be pooled, SettingError and TokenError for values that are not allowed
  */
 export function applyStartupParameters(settings: ClientSettings, parameters: ReadonlyMap<string, string>): ClientSettings {
-	const options = parameters.get('options') ?? '';
-	const rest = options.replaceAll(OPTION_PATTERN, '').trim();
-	if (rest !== '') {
-		throw createRequestError(SQL_STATE.notSupported, `startup options ${JSON.stringify(rest)} cannot be used through transaction pooling`);
-	}
-
-	const optionParameters = [...options.matchAll(OPTION_PATTERN)].map<Parameter>(({groups}) => [groups!.name!, groups!.value!]);
-	return [...parameters, ...optionParameters].reduce((current, parameter) => applyParameter(current, parameter), settings);
+	// PostgreSQL applies the options first, so that a parameter of its own wins.
+	const options = parseStartupOptions(parameters.get('options') ?? '');
+	return [...options, ...parameters].reduce((current, parameter) => applyParameter(current, parameter), settings);
 }
 
-function applyParameter(settings: ClientSettings, [name, value]: Parameter): ClientSettings {
+function applyParameter(settings: ClientSettings, [name, value]: readonly [name: string, value: string]): ClientSettings {
 	if (IDENTITY_PARAMETERS.has(name) || (name === 'client_encoding' && ENCODING_PATTERN.test(value))) {
 		return settings;
 	}
