--- a/packages/heatherpond-changelog/src/platform-snapshot.ts
+++ b/packages/heatherpond-changelog/src/platform-snapshot.ts
@@ -95,7 +95,11 @@
 	return JSON.stringify(view, (_key, value: unknown) => typeof value === 'bigint' ? `${value}n` : value);
 }
 
+/** Field of a view that holds a bigint: where the log of a term starts. Texts elsewhere are names, which may look like one. */
+const BIGINT_FIELD = 'start';
+const BIGINT_PATTERN = /^\d+n$/v;
+
 /** Decodes a fleet view that `encodeView` encoded. */
 export function decodeView(text: string): FleetView {
-	return fleetViewSchema.parse(JSON.parse(text, (_key, value: unknown) => typeof value === 'string' && /^\d+n$/v.test(value) ? BigInt(value.slice(0, -1)) : value));
+	return fleetViewSchema.parse(JSON.parse(text, (key, value: unknown) => key === BIGINT_FIELD && typeof value === 'string' && BIGINT_PATTERN.test(value) ? BigInt(value.slice(0, -1)) : value));
 }
