Do not take names that every object has for entries

In a group named "constructor" the session token never got a position, so that reads could miss the session's own writes; a route could refer to a group "toString" that does not exist and a key be given to a team "valueOf" without a contract. A contract for a team "anonymous" would have shared the allotment and the queue of all clients without a key.

Records by name are plain objects, in which such names are found although nothing was put there. The token and the checks of changes ask for own entries now, and operators cannot give these names any more (teams, routes, groups, databases); entries that are in the log already stay readable and in force.

Host and domain names from settings files are not checked for this.

--- a/packages/heatherpond-core/src/change-check.ts
+++ b/packages/heatherpond-core/src/change-check.ts
@@ -3,6 +3,7 @@
 import {CoreError} from './core-error.js';
 import type {FleetView, GroupRecord} from './fleet-view.js';
 import type {Change} from './log-entry.js';
+import {findEntry, findReservedName} from './reserved-names.js';
 
 /** An operator's change was rejected and not applied. The message states the reason and the accepted values. */
 export const ChangeRefusedError = CoreError.subclass('ChangeRefusedError', {props: {code: 'change_refused'}});
@@ -21,13 +22,18 @@
 
 /** Returns the reason why a change is invalid in a view, or `undefined` if it is valid. */
 export function findChangeError(view: FleetView, change: Change): string | undefined {
+	const reserved = findReservedName(change);
+	return reserved === undefined ? findStateError(view, change) : `the name "${reserved}" is reserved; choose another one`;
+}
+
+function findStateError(view: FleetView, change: Change): string | undefined {
 	switch (change.kind) {
 		case 'contractApplied': {
 			return findRouteError(view, change.contract.routes);
 		}
 
 		case 'contractRemoved': {
-			return view.contracts[change.team] ? undefined : `team "${change.team}" has no contract; contracts exist for: ${formatNames(view.contracts)}`;
+			return findEntry(view.contracts, change.team) ? undefined : `team "${change.team}" has no contract; contracts exist for: ${formatNames(view.contracts)}`;
 		}
 
 		case 'keyGiven': {
@@ -39,16 +45,16 @@
 		}
 
 		case 'routeApplied': {
-			return view.groups[change.route.group] ? undefined : `route "${change.route.name}" refers to unknown group "${change.route.group}"; groups: ${formatNames(view.groups)}`;
+			return findEntry(view.groups, change.route.group) ? undefined : `route "${change.route.name}" refers to unknown group "${change.route.group}"; groups: ${formatNames(view.groups)}`;
 		}
 
 		case 'groupApplied': {
-			return findGroupError(change.group, view.groups[change.group.name]);
+			return findGroupError(change.group, findEntry(view.groups, change.group.name));
 		}
 
 		case 'upstreamLeft':
 		case 'upstreamReturned': {
-			return findUpstreamError(view.groups[change.group], change);
+			return findUpstreamError(findEntry(view.groups, change.group), change);
 		}
 
 		case 'promotionStarted':
@@ -66,12 +72,12 @@
 }
 
 function findRouteError(view: FleetView, routes: readonly string[]): string | undefined {
-	const unknown = routes.find(route => !view.routes[route]);
+	const unknown = routes.find(route => !findEntry(view.routes, route));
 	return unknown === undefined ? undefined : `the contract refers to unknown route "${unknown}"; routes: ${formatNames(view.routes)}`;
 }
 
 function findKeyError(view: FleetView, change: Extract<Change, {kind: 'keyGiven'}>): string | undefined {
-	if (!view.contracts[change.team]) {
+	if (!findEntry(view.contracts, change.team)) {
 		return `team "${change.team}" has no contract; contracts exist for: ${formatNames(view.contracts)}`;
 	}
 
@@ -80,7 +86,7 @@
 		return `key id "${change.keyId}" is already in use by team "${duplicate.team}"; a key id is used once`;
 	}
 
-	return view.keys[change.keyHash] ? `this key is already registered as "${view.keys[change.keyHash]!.keyId}"; a key is used once` : undefined;
+	return findEntry(view.keys, change.keyHash) ? `this key is already registered as "${view.keys[change.keyHash]!.keyId}"; a key is used once` : undefined;
 }
 
 function findWithdrawalError(view: FleetView, keyId: string): string | undefined {
--- a/packages/heatherpond-core/src/index.ts
+++ b/packages/heatherpond-core/src/index.ts
@@ -32,6 +32,7 @@
 export * from './primacy-state.js';
 export * from './promotion-decisions.js';
 export * from './rendezvous.js';
+export * from './reserved-names.js';
 export * from './promotion-machine.js';
 export * from './promotion-port.js';
 export * from './request-gate.js';
--- a/packages/heatherpond-core/src/session-token.ts
+++ b/packages/heatherpond-core/src/session-token.ts
@@ -7,6 +7,7 @@
 import {nameSchema} from './contract.js';
 import {CoreError} from './core-error.js';
 import {logPointSchema, type LogPosition} from './position.js';
+import {findEntry} from './reserved-names.js';
 
 /** Schema of a decoded session token. */
 export const sessionTokenSchema = z.record(nameSchema, logPointSchema);
@@ -68,7 +69,7 @@
 
 /** Applies a point that the session wrote or read; a lower point leaves the token unchanged. */
 export function applyPointToToken(token: SessionToken, group: string, point: LogPosition): SessionToken {
-	const known = token[group];
+	const known = findEntry(token, group);
 	const isNewer = !known || point.term > known.term || (point.term === known.term && point.position > known.position);
 	return isNewer ? {...token, [group]: point} : token;
 }
--- a/packages/heatherpond-postgres/src/client-settings.ts
+++ b/packages/heatherpond-postgres/src/client-settings.ts
@@ -1,6 +1,6 @@
 /** The settings that a client changes with SET or in its startup message. */
 import {
-	applyPointToToken, EMPTY_TOKEN, formatSessionToken, parseSessionToken, type FleetView, type SessionToken,
+	applyPointToToken, EMPTY_TOKEN, findEntry, formatSessionToken, parseSessionToken, type FleetView, type SessionToken,
 } from 'heatherpond-core';
 import type {StatementClass} from './classify.js';
 import {createRequestError} from './postgres-error.js';
@@ -41,7 +41,7 @@
  * @throws RequestError if it names another one
  */
 export function checkTokenGroups({token}: ClientSettings, groups: FleetView['groups']): void {
-	const unknownGroup = Object.keys(token).find(name => groups[name] === undefined);
+	const unknownGroup = Object.keys(token).find(name => findEntry(groups, name) === undefined);
 	if (unknownGroup !== undefined) {
 		throw createRequestError(SQL_STATE.unknownTokenGroup, `the session token names the group ${JSON.stringify(unknownGroup)}, which does not exist in this deployment`);
 	}
--- a/packages/heatherpond-postgres/src/request-routing.ts
+++ b/packages/heatherpond-postgres/src/request-routing.ts
@@ -1,6 +1,6 @@
 /** Routes a request to a database, and waits for admission and for a pooled connection. */
 import {
-	decideRoute, findPrimary, formatDatabaseKey, isIncluded, readProvenAge, RefusalError,
+	decideRoute, findEntry, findPrimary, formatDatabaseKey, isIncluded, readProvenAge, RefusalError,
 	type Deadline, type GroupRecord, type LogPosition, type RequestTicket, type RouteDecision,
 } from 'heatherpond-core';
 import {readTeam, type ClientContext} from './client-context.js';
@@ -74,7 +74,7 @@
 	try {
 		const handle = await services.pools.acquire(name, member, ticket);
 		return {
-			handle, permit, group: name, member, isPrimary, required: settings.token[name], mayHaveWritten: false, hasFlushed: false, hasFailed: false,
+			handle, permit, group: name, member, isPrimary, required: findEntry(settings.token, name), mayHaveWritten: false, hasFlushed: false, hasFailed: false,
 		};
 	} catch (error) {
 		running.failed.add(database);
@@ -148,7 +148,7 @@
 		findKnowledge: database => running.failed.has(database) ? undefined : state.databases[formatDatabaseKey(name, database)],
 		need: {
 			kind: running.request.isRead && !running.needsPrimary ? 'read' : 'write',
-			required: settings.token[name],
+			required: findEntry(settings.token, name),
 			maxStalenessMs: settings.maxStalenessMs ?? running.route.maxStalenessMs,
 			maxWaitMs: services.limits.replicaWaitMs,
 		},
