Keep texts of clients on their line of the log

A client that gave a user name with a line end, before any key was checked, wrote a line of its own choice into the host's log: `timeline` and `explain` took an event "promoted" from it. Control characters also reached the terminal that showed the log.

logfmt quotes blanks, equals signs and quotes, but leaves line ends as they are. formatLineFields shows control characters and line separators as \u and four digits, for log lines and for the lines of the time line.

--- a/packages/heatherpond-observe/src/event-text.ts
+++ b/packages/heatherpond-observe/src/event-text.ts
@@ -2,6 +2,7 @@
 import {fleetEventSchema, type FleetEvent} from 'heatherpond-core';
 import logfmt from 'logfmt';
 import {parseHybridTime} from './hybrid-clock.js';
+import {formatLineFields} from './line-fields.js';
 
 /** Event fields that logfmt lines contain as text and that are numbers. */
 const NUMBER_FIELDS = new Set(['version', 'term', 'elapsedMs', 'amount']);
@@ -37,7 +38,7 @@
 export function formatEvent(event: FleetEvent): string {
 	const {kind, at, ...subject} = event;
 	const time = new Date(at.wallMs).toISOString();
-	const fields = logfmt.stringify(Object.fromEntries(Object.entries(subject).filter(([, value]) => value !== undefined).map(([name, value]) => [name, formatFieldValue(value)])));
+	const fields = formatLineFields(Object.fromEntries(Object.entries(subject).filter(([, value]) => value !== undefined).map(([name, value]) => [name, formatFieldValue(value)])));
 	return `${time} +${at.counter}  ${at.host.padEnd(HOST_WIDTH)} ${kind.padEnd(KIND_WIDTH)} ${fields}`.trimEnd();
 }
 
--- a/packages/heatherpond-observe/src/logger.ts
+++ b/packages/heatherpond-observe/src/logger.ts
@@ -1,7 +1,7 @@
 /** Logger that writes one logfmt line for each event. */
 import process from 'node:process';
-import logfmt from 'logfmt';
 import log, {type LogLevelDesc} from 'loglevel';
+import {formatLineFields} from './line-fields.js';
 
 /** Logger of one process. */
 export type Logger = {
@@ -43,7 +43,7 @@
 	const currentLevel = logger.getLevel();
 
 	function formatLine(level: string, event: string, fields: LogFields): string {
-		return logfmt.stringify({
+		return formatLineFields({
 			time: new Date().toISOString(), level, event, host: options.host, domain: options.domain, ...removeUndefinedFields(fields),
 		});
 	}
