Do not share a connection after a statement that could not be read

A text that the proxy's parser can't read, but the database can (a grammar newer than the parser's, nesting beyond its memory), is passed on as one write. It may hold statements that are refused otherwise, such as SET ROLE or PREPARE, and whatever it left went to the next session on the connection.

The connection is closed now when the transaction of such a text has ended, unless the database answered with a syntax error, after which nothing of the text has run.

--- a/packages/heatherpond-postgres/src/classify.ts
+++ b/packages/heatherpond-postgres/src/classify.ts
@@ -19,6 +19,8 @@
 	readonly settingValue?: string;
 	/** Whether the statement is SET LOCAL. */
 	readonly isLocalSetting?: boolean;
+	/** Whether the parser could not read the text, which a database with another grammar may run all the same. */
+	readonly isUnreadable?: boolean;
 	/** What transaction pooling does not support, for `unsupported`. */
 	readonly reason?: string;
 };
@@ -39,6 +41,7 @@
 const MAX_CACHED_QUERY_LENGTH = 16_384;
 const cache = new LRUCache<string, StatementClasses>({max: MAX_CACHED_QUERIES});
 const WRITE: StatementClass = {kind: 'write'};
+const UNREADABLE: StatementClass = {kind: 'write', isUnreadable: true};
 
 /** Functions that are known not to write; a call of any other function makes a statement a write. */
 const READ_ONLY_FUNCTIONS = new Set([
@@ -75,7 +78,7 @@
 		const statements = ((tree.stmts ?? []) as Tree[]).map(item => classifyStatement(item.stmt));
 		return statements.map(statement => statement.kind === 'variable' ? {...statement, settingText: text} : statement);
 	} catch {
-		return [WRITE];
+		return [UNREADABLE];
 	}
 }
 
--- a/packages/heatherpond-postgres/src/client-response.ts
+++ b/packages/heatherpond-postgres/src/client-response.ts
@@ -28,6 +28,8 @@
 	readonly hasAcknowledgement: () => boolean;
 	/** Returns the last command tag, or an empty string before the first one. */
 	readonly readTag: () => string;
+	/** Returns the SQLSTATE of the error of the database, if it reported one. */
+	readonly readErrorCode: () => string | undefined;
 	/** Sends the buffered messages to the client and stops buffering. */
 	readonly release: () => void;
 	/** Returns why the response was discarded; `undefined` if it was not. */
@@ -65,6 +67,7 @@
 	let isBuffering = isWrite || options.buffersAll;
 	let hasAcknowledgement = false;
 	let tag = '';
+	let errorCode: string | undefined;
 	let discardReason: DiscardReason | undefined;
 
 	function sendNow(bytes: Buffer): void {
@@ -143,6 +146,10 @@
 				return;
 			}
 
+			if (frame.type === BACKEND.errorResponse) {
+				errorCode = parseServerError(frame.body).code;
+			}
+
 			if (frame.type === BACKEND.commandComplete) {
 				tag = options.recordsTag ? parseText(frame.body) : '';
 				hasAcknowledgement ||= isWrite || options.buffersAll;
@@ -160,6 +167,7 @@
 		},
 		hasAcknowledgement: () => hasAcknowledgement,
 		readTag: () => tag,
+		readErrorCode: () => errorCode,
 		release() {
 			isBuffering = false;
 			checkedPosition ??= {term: 0, position: 0n};
--- a/packages/heatherpond-postgres/src/once-request.ts
+++ b/packages/heatherpond-postgres/src/once-request.ts
@@ -165,6 +165,7 @@
 		hasAcknowledgement: () => true,
 		readDiscardReason: () => undefined,
 		readTag: () => tag,
+		readErrorCode: () => undefined,
 		release() {
 			context.output.write(createNoticeResponse({severity: 'NOTICE', code: SQL_STATE.alreadyRun, message: 'the request has already run; returning its recorded outcome'}));
 			answerLocally(context, request, {describe: () => undefined, execute: () => [createCommandComplete(tag)]});
--- a/packages/heatherpond-postgres/src/request-exchange.ts
+++ b/packages/heatherpond-postgres/src/request-exchange.ts
@@ -9,6 +9,7 @@
 import {UpstreamError} from './postgres-error.js';
 import {encodeRequest} from './request-encoding.js';
 import type {RunningRequest, ConnectionAssignment} from './running-request.js';
+import {SQL_STATE} from './sql-states.js';
 import {startResponseWatchdog} from './response-watchdog.js';
 import {isResponseFreshEnough} from './request-routing.js';
 
@@ -80,6 +81,7 @@
 		}
 
 		assignment.hasFailed = end.status === 'E';
+		assignment.mayHoldState ||= request.statements.some(({isUnreadable}) => isUnreadable) && answer.readErrorCode() !== SQL_STATE.syntaxError;
 		return {
 			...end, answer, discardReason: answer.readDiscardReason(), hasFailed: encoded.hasFailed(),
 		};
--- a/packages/heatherpond-postgres/src/request-routing.ts
+++ b/packages/heatherpond-postgres/src/request-routing.ts
@@ -74,7 +74,7 @@
 	try {
 		const handle = await services.pools.acquire(name, member, ticket);
 		return {
-			handle, permit, group: name, member, isPrimary, required: findEntry(settings.token, name), mayHaveWritten: false, hasFlushed: false, hasFailed: false,
+			handle, permit, group: name, member, isPrimary, required: findEntry(settings.token, name), mayHaveWritten: false, hasFlushed: false, hasFailed: false, mayHoldState: false,
 		};
 	} catch (error) {
 		running.failed.add(database);
--- a/packages/heatherpond-postgres/src/request-runner.ts
+++ b/packages/heatherpond-postgres/src/request-runner.ts
@@ -82,7 +82,7 @@
 		recordReplicaPosition(context, assignment, outcome.point);
 		if (outcome.status === 'I') {
 			context.names.portals.clear();
-			assignment.handle.release(true);
+			assignment.handle.release(!assignment.mayHoldState);
 			assignment.permit.release('answered');
 			const isProofNeeded = assignment.mayHaveWritten && assignment.isPrimary && (outcome.answer.hasAcknowledgement() || assignment.hasFlushed);
 			if (isProofNeeded && !running.request.statements.some(statement => statement.kind === 'rollback')) {
--- a/packages/heatherpond-postgres/src/running-request.ts
+++ b/packages/heatherpond-postgres/src/running-request.ts
@@ -43,4 +43,6 @@
 	hasFlushed: boolean;
 	/** Whether the transaction on this connection has failed, so that the database refuses all but its end. */
 	hasFailed: boolean;
+	/** Whether a statement that the proxy could not read may have left state on the connection, which is then not shared. */
+	mayHoldState: boolean;
 };
--- a/packages/heatherpond-postgres/src/sql-states.ts
+++ b/packages/heatherpond-postgres/src/sql-states.ts
@@ -40,6 +40,7 @@
 	unknownPortal: '34000',
 	duplicateStatement: '42P05',
 	undefinedTable: '42P01',
+	syntaxError: '42601',
 	tooManyStatements: '53400',
 	limitExceeded: '54000',
 } as const;
