Refuse Sync and Flush with fields

Bytes in the body of Sync or Flush were passed over; PostgreSQL takes such a message for a violation of the protocol. So does the host now (08P01).

--- a/packages/heatherpond-postgres/src/__tests__/unit/message-texts.test.ts
+++ b/packages/heatherpond-postgres/src/__tests__/unit/message-texts.test.ts
@@ -54,6 +54,8 @@
 		['Parse', createMessage(FRONTEND.parse, encodeText(''), encodeText('SELECT 1'), NO_TYPES, encodeText('DELETE FROM t'))],
 		['Describe', createMessage(FRONTEND.describe, encodeText('S'), encodeText('DELETE FROM t'))],
 		['Execute', createMessage(FRONTEND.execute, encodeText(''), Buffer.alloc(4), encodeText('x'))],
+		['Flush', createMessage(FRONTEND.flush, encodeText('DELETE FROM t'))],
+		['Sync', createMessage(FRONTEND.sync, encodeText('DELETE FROM t'))],
 	])('bytes after the last field of %s end the connection and reach no database', async (_name, message) => {
 		const client = await openWireClient(await fixture.openSocket());
 		client.send(serialize.parse({text: 'SELECT 2'}), serialize.bind({}), message, serialize.sync());
--- a/packages/heatherpond-postgres/src/client-session.ts
+++ b/packages/heatherpond-postgres/src/client-session.ts
@@ -111,6 +111,10 @@
 		return undefined;
 	}
 
+	if (frame.type !== FRONTEND.query && frame.body.length > 0) {
+		throw new WireError('invalid message format: Sync and Flush have no fields');
+	}
+
 	const {batch} = session;
 	session.batch = [];
 	session.batchBytes = 0;
