Take only term:position for a log position

A database's report of 1:5:9, 1e3:5, :5 or a term alone was taken for a position, with a term of 0 or 1000: the text was split at colons and read as JavaScript reads numbers. Session tokens and the choice of replicas follow such positions.

The whole text has to have the form now, otherwise the connection is closed like after any malformed message, and the read is tried elsewhere.

--- a/packages/heatherpond-postgres/src/upstream-connection.ts
+++ b/packages/heatherpond-postgres/src/upstream-connection.ts
@@ -76,6 +76,7 @@
 /** Name of the ParameterStatus parameter with which a database reports a log position, as `term:position`. */
 export const POSITION_PARAMETER = 'heatherpond.position';
 
+const POSITION_VALUE = /^(?<term>\d{1,15}):(?<position>\d{1,20})$/v;
 const POSITION_PREFIX = Buffer.from(`${POSITION_PARAMETER}\0`);
 /** Startup parameters that let a database read SQL as the proxy does, whatever its own defaults are. */
 const SQL_GRAMMAR = {standard_conforming_strings: 'on'};
@@ -257,6 +258,10 @@
 
 	const fields = createFieldReader(frame.body);
 	fields.readText();
-	const [term, position] = fields.readText().split(':');
-	return {term: Number(term), position: BigInt(position ?? '0')};
+	const groups = POSITION_VALUE.exec(fields.readText())?.groups;
+	if (!groups) {
+		throw new WireError('the database reported a log position that is not of the form term:position');
+	}
+
+	return {term: Number(groups.term), position: BigInt(groups.position!)};
 }
