--- a/packages/heatherpond-postgres/src/request-encoding.ts
+++ b/packages/heatherpond-postgres/src/request-encoding.ts
@@ -1,38 +1,16 @@
 /** Encodes a request for an upstream connection, and matches the response to the messages of the request. */
 import {Buffer} from 'node:buffer';
 import {
-	BACKEND, createCloseComplete, createMessage, createParseComplete, encodeText, FRONTEND, type Frame,
+	BACKEND, createCloseComplete, createMessage, createParseComplete, encodeText, FRONTEND,
 } from 'heatherpond-wire';
 import type {ClientRequest, RequestStep, SessionNames} from './client-request.js';
 import type {ConnectionStatements, NameAssignment} from './connection-statements.js';
 import type {PreparedStatement} from './prepared-statements.js';
-
-/** The expected response to one message. */
-type Expectation = {
-	/** Whether a message type ends the response of the database; absent if the proxy answers without the database. */
-	readonly end?: (type: number) => boolean;
-	/** Bytes sent to the client instead of the response; if absent, the response is forwarded. */
-	readonly replacement?: Buffer;
-	/** Updates the names of the session; called when the response is complete. */
-	readonly apply?: () => void;
-	/** Reverts the assumed state of the connection; called if the message was not executed. */
-	readonly revert?: () => void;
-};
-
-/** Sends one message to the client. */
-export type Emit = (bytes: Buffer) => void;
+import {createResponseMatcher, type Expectation, type ResponseMatcher} from './response-matching.js';
 
 /** A request, encoded for one connection. */
-export type EncodedRequest = {
+export type EncodedRequest = ResponseMatcher & {
 	readonly messages: readonly Buffer[];
-	/** Emits the messages that precede the first message of the database; called once, before `take`. */
-	readonly start: (emit: Emit) => void;
-	/** Handles the next frame of the response and emits the messages for the client in order. */
-	readonly take: (frame: Frame, emit: Emit) => void;
-	/** Whether all messages before Sync or Flush were answered. */
-	readonly isComplete: () => boolean;
-	/** Whether the database reported an error. */
-	readonly hasFailed: () => boolean;
 };
 
 /** Prepared statements per upstream connection above which the oldest are closed. */
@@ -206,50 +184,3 @@
 		},
 	};
 }
-
-/** Matches frames to expectations in order. After an error the database skips all messages up to Sync. */
-function createResponseMatcher(expectations: readonly Expectation[]): Omit<EncodedRequest, 'messages'> {
-	let index = 0;
-	let hasFailed = false;
-
-	function endCurrent(emit: Emit, bytes: Buffer): void {
-		if (bytes.length > 0) {
-			emit(bytes);
-		}
-
-		expectations[index]!.apply?.();
-		index++;
-		start(emit);
-	}
-
-	function start(emit: Emit): void {
-		const local = expectations[index];
-		if (local && !local.end) {
-			endCurrent(emit, local.replacement!);
-		}
-	}
-
-	return {
-		start,
-		take(frame, emit) {
-			if (frame.type === BACKEND.errorResponse) {
-				expectations.slice(index).forEach(expectation => {
-					expectation.revert?.();
-				});
-				index = expectations.length;
-				hasFailed = true;
-				emit(frame.bytes);
-				return;
-			}
-
-			const current = expectations[index];
-			if (current?.end?.(frame.type)) {
-				endCurrent(emit, current.replacement ?? frame.bytes);
-			} else if (current?.replacement === undefined) {
-				emit(frame.bytes);
-			}
-		},
-		isComplete: () => index >= expectations.length,
-		hasFailed: () => hasFailed,
-	};
-}
