Do not answer one team with the outcome of another team's request

A team that sent the same statement, values and idempotency key as another team of the same group was told "the request has already run", with the other's command tag: its own write never ran. Keys such as a booking's number are chosen by each team for itself, but share one table.

The recorded fingerprint covers the team now, so such a request is refused (HP009), as a key that was used for a different request. The key itself stays shared by the teams of a group: a row of its own for each team would let a repeat that crosses an upgrade run twice.

When this lands, a repeat of a request that ran before it gets HP009 in place of HP008; it does not run again.

--- a/packages/heatherpond-postgres/src/__tests__/unit/once-keys.test.ts
+++ b/packages/heatherpond-postgres/src/__tests__/unit/once-keys.test.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {createHash} from 'node:crypto';
 import {
 	afterAll, beforeAll, describe, expect, test,
 } from '@jest/globals';
@@ -53,4 +54,28 @@
 			await (index === 0 ? run : expect(run).rejects.toMatchObject({code: 'HP009'}));
 		}
 	});
+
+	test('the same request of another team with the same key is not answered as its repeat', async () => {
+		const keyHash = createHash('sha256').update('other key').digest('hex');
+		fixture.blackboard.update(state => ({
+			...state,
+			view: {
+				...state.view,
+				contracts: {...state.view.contracts, other: {...state.view.contracts.team!, team: 'other'}},
+				keys: {
+					...state.view.keys, [keyHash]: {
+						keyId: 'o', team: 'other', keyHash, isWithdrawn: false,
+					},
+				},
+			},
+		}));
+		const other = await fixture.openClient({user: 'other', password: 'other key'});
+		const write = {text: 'INSERT INTO t (id, value) VALUES ($1, $2)', values: ['booking', 'v']};
+		await client.query('SET heatherpond.once TO \'booking\'');
+		await client.query(write);
+		await other.query('SET heatherpond.once TO \'booking\'');
+		await expect(other.query(write)).rejects.toMatchObject({code: 'HP009'});
+		await client.query('SET heatherpond.once TO \'booking\'');
+		await client.query(write);
+	});
 });
--- a/packages/heatherpond-postgres/src/once-request.ts
+++ b/packages/heatherpond-postgres/src/once-request.ts
@@ -6,7 +6,7 @@
 import {createHash} from 'node:crypto';
 import {createCommandComplete, createNoticeResponse} from 'heatherpond-wire';
 import type {ClientResponse} from './client-response.js';
-import type {ClientContext} from './client-context.js';
+import {readTeam, type ClientContext} from './client-context.js';
 import type {ClientRequest} from './client-request.js';
 import {answerLocally} from './local-response.js';
 import {createRequestError, UpstreamError} from './postgres-error.js';
@@ -42,7 +42,7 @@
 /** Runs the write in a transaction that also inserts the key, or reads the recorded outcome when the key exists. */
 export async function exchangeOnce(context: ClientContext, assignment: ConnectionAssignment, running: RunningRequest): Promise<ExchangeOutcome> {
 	const once: OnceExecution = {
-		context, assignment, running, id: context.settings.once!, fingerprint: createFingerprint(running.request),
+		context, assignment, running, id: context.settings.once!, fingerprint: createFingerprint(context, running.request),
 	};
 	running.cancellation.updateDestroyer(assignment.handle.connection.destroy);
 	try {
@@ -57,9 +57,12 @@
 	}
 }
 
-/** Hashes the SQL text and bound parameters, to detect that a key is reused for a different write. */
-function createFingerprint(request: ClientRequest): string {
-	const hash = createHash('sha256').update(request.text);
+/**
+ * Hashes the team, the SQL text and the bound parameters, to detect that a key is reused for a different write. Each part
+ * ends with a zero byte or has a length of its own, so that no two requests have the same bytes.
+ */
+function createFingerprint(context: ClientContext, request: ClientRequest): string {
+	const hash = createHash('sha256').update(`${readTeam(context)}\0${request.text}\0`);
 	request.steps.forEach(step => {
 		if (step.kind === 'bind') {
 			hash.update(step.statement.definition).update(step.rest);
