Test that a malformed Bind is an error and nothing more

Suspect cleared: Bind with more or fewer values than it declares, or with a value beyond its end, is refused by the database and leaves the connection and its names as they were.

--- a/packages/heatherpond-postgres/src/__tests__/unit/message-texts.test.ts
+++ b/packages/heatherpond-postgres/src/__tests__/unit/message-texts.test.ts
@@ -64,6 +64,21 @@
 		expect(fixture.countRows('t')).toBe(1);
 	});
 
+	test.each([
+		['more values than it declares', Buffer.concat([Buffer.alloc(4), encodeText('v'), Buffer.alloc(2)])],
+		['fewer values than it declares', Buffer.of(0, 0, 0, 2, 0, 0, 0, 0, 0, 0)],
+		['a value that is longer than the message', Buffer.of(0, 0, 0, 1, 0, 0, 0, 9, 0, 0)],
+	])('Bind with %s is an error, after which the connection is used again', async (_name, rest) => {
+		const client = await openWireClient(await fixture.openSocket());
+		client.send(serialize.parse({name: 's', text: 'SELECT $1'}), createMessage(FRONTEND.bind, encodeText(''), encodeText('s'), rest), serialize.execute(), serialize.sync());
+		expect(await client.waitForReady()).toBe('1EZ');
+		client.send(serialize.parse({name: 's', text: 'SELECT $1'}), serialize.bind({statement: 's', values: ['v']}), serialize.execute(), serialize.sync());
+		await client.waitForReady();
+		client.send(serialize.bind({statement: 's', values: ['v']}), serialize.execute(), serialize.sync());
+		await client.waitForReady();
+		expect(client.readErrors()).toEqual(['08P01', '42P05']);
+	});
+
 	test('names of one mebibyte are an error, and other clients are served', async () => {
 		const client = await openWireClient(await fixture.openSocket());
 		client.send(createMessage(FRONTEND.parse, encodeText('n'.repeat(1_048_576)), encodeText('SELECT 1'), NO_TYPES), serialize.sync());
--- a/packages/heatherpond-standin/src/connection-state.ts
+++ b/packages/heatherpond-standin/src/connection-state.ts
@@ -1,6 +1,6 @@
 /** Protocol state of one connection to a stand-in database, and the responses sent on it. */
 import {
-	createCommandComplete, createDataRow, createErrorResponse, createParameterStatus, createRowDescription,
+	createCommandComplete, createDataRow, createErrorResponse, createParameterStatus, createRowDescription, WireError,
 } from 'heatherpond-wire';
 import type {ClientChannel} from './client-channel.js';
 import type {DatabaseFaults} from './database-faults.js';
@@ -14,6 +14,10 @@
 /** Name of the ParameterStatus message that reports the log position as `term:position`. */
 export const POSITION_PARAMETER = 'heatherpond.position';
 
+/** SQLSTATEs of errors that are not those of a statement. */
+const PROTOCOL_VIOLATION = '08P01';
+const INTERNAL_ERROR = 'XX000';
+
 /** A prepared statement; `statement` is absent for an empty query. */
 export type PreparedStatement = {readonly text: string; readonly statement?: SqlNode; readonly parameterTypes: readonly number[]};
 
@@ -158,7 +162,7 @@
 /** Marks the transaction as failed and sends the error. */
 export function sendError(state: ConnectionState, error: unknown): void {
 	state.session.fail();
-	const sqlState = error instanceof StatementError ? error.sqlState : 'XX000';
+	const sqlState = error instanceof StatementError ? error.sqlState : (error instanceof WireError ? PROTOCOL_VIOLATION : INTERNAL_ERROR);
 	sendLogPosition(state);
 	state.channel.send(createErrorResponse({severity: 'ERROR', code: sqlState, message: (error as Error).message}));
 }
