Refuse SET LOCAL of the proxy's settings

SET LOCAL heatherpond.max_staleness inside a transaction held for the whole session: later reads went on to accept data of that age. The setting was read as SET.

--- a/packages/heatherpond-postgres/src/classify-setting.ts
+++ b/packages/heatherpond-postgres/src/classify-setting.ts
@@ -36,6 +36,10 @@
 }
 
 function classifySetting(body: Tree, name: string): StatementClass {
+	if (body.is_local) {
+		return {kind: 'unsupported', reason: `SET LOCAL ${name}`};
+	}
+
 	if (body.kind !== 'VAR_SET_VALUE') {
 		return {kind: 'setting', settingName: name};
 	}
