--- a/packages/heatherpond-postgres/src/classify-setting.ts
+++ b/packages/heatherpond-postgres/src/classify-setting.ts
@@ -36,6 +36,10 @@
 }
 
 function classifySetting(body: Tree, name: string): StatementClass {
+	if (body.is_local) {
+		return {kind: 'unsupported', reason: `SET LOCAL ${name}`};
+	}
+
 	if (body.kind !== 'VAR_SET_VALUE') {
 		return {kind: 'setting', settingName: name};
 	}
@@ -72,7 +76,7 @@
 	}
 
 	if (isTransactional) {
-		return {kind: 'write'};
+		return {kind: 'write', isLocalSetting: Boolean(body.is_local)};
 	}
 
 	if (body.kind === 'VAR_SET_CURRENT') {
--- a/packages/heatherpond-postgres/src/request-encoding.ts
+++ b/packages/heatherpond-postgres/src/request-encoding.ts
@@ -1,38 +1,16 @@
 /** Encodes a request for an upstream connection, and matches the response to the messages of the request. */
 import {Buffer} from 'node:buffer';
 import {
-	BACKEND, createCloseComplete, createMessage, createParseComplete, encodeText, FRONTEND, type Frame,
+	BACKEND, createCloseComplete, createMessage, createParseComplete, encodeText, FRONTEND,
 } from 'heatherpond-wire';
 import type {ClientRequest, RequestStep, SessionNames} from './client-request.js';
+import type {ConnectionStatements, NameAssignment} from './connection-statements.js';
 import type {PreparedStatement} from './prepared-statements.js';
-import type {ConnectionStatements} from './upstream-connection.js';
-
-/** The expected response to one message. */
-type Expectation = {
-	/** Whether a message type ends the response of the database; absent if the proxy answers without the database. */
-	readonly end?: (type: number) => boolean;
-	/** Bytes sent to the client instead of the response; if absent, the response is forwarded. */
-	readonly replacement?: Buffer;
-	/** Updates the names of the session; called when the response is complete. */
-	readonly apply?: () => void;
-	/** Reverts the assumed state of the connection; called if the message was not executed. */
-	readonly revert?: () => void;
-};
-
-/** Sends one message to the client. */
-export type Emit = (bytes: Buffer) => void;
+import {createResponseMatcher, type Expectation, type ResponseMatcher} from './response-matching.js';
 
 /** A request, encoded for one connection. */
-export type EncodedRequest = {
+export type EncodedRequest = ResponseMatcher & {
 	readonly messages: readonly Buffer[];
-	/** Emits the messages that precede the first message of the database; called once, before `take`. */
-	readonly start: (emit: Emit) => void;
-	/** Handles the next frame of the response and emits the messages for the client in order. */
-	readonly take: (frame: Frame, emit: Emit) => void;
-	/** Whether all messages before Sync or Flush were answered. */
-	readonly isComplete: () => boolean;
-	/** Whether the database reported an error. */
-	readonly hasFailed: () => boolean;
 };
 
 /** Prepared statements per upstream connection above which the oldest are closed. */
@@ -59,6 +37,8 @@
 	readonly names: SessionNames;
 	/** Whether a transaction is open on the connection; statements are then not closed, as this would close their portals. */
 	readonly isInTransaction: boolean;
+	/** Whether the transaction has failed; the database then refuses to prepare any statement that does not end it. */
+	readonly hasTransactionFailed: boolean;
 };
 
 /**
@@ -93,32 +73,43 @@
 
 type StepEncoder = {readonly encode: (step: RequestStep) => void; readonly closeOldest: () => void};
 
-function createStepEncoder({statements, names}: EncodingOptions, messages: Buffer[], expectations: Expectation[]): StepEncoder {
-	function appendParse(statement: PreparedStatement, replacement: Buffer | undefined, apply?: () => void): void {
-		const {upstreamName} = statement;
-		messages.push(createMessage(FRONTEND.parse, encodeText(upstreamName), statement.definition));
-		if (upstreamName === '') {
-			statements.unnamed = statement;
-		} else {
-			statements.named.add(upstreamName);
+function createStepEncoder({statements, names, hasTransactionFailed}: EncodingOptions, messages: Buffer[], expectations: Expectation[]): StepEncoder {
+	/** Assigns the unnamed statement, or a new name. */
+	function insertStatement(statement: PreparedStatement): NameAssignment {
+		if (statement.isNamed) {
+			return statements.insertName(statement);
 		}
 
-		expectations.push({
-			end: isParseEnd, replacement, apply, revert() {
-				statements.named.delete(upstreamName);
+		statements.unnamed = statement;
+		return {
+			name: '', revert() {
 				statements.unnamed = undefined;
 			},
+		};
+	}
+
+	/** Appends a Parse message and returns the name in it. */
+	function appendParse(statement: PreparedStatement, replacement: Buffer | undefined, apply?: () => void): string {
+		const {name, revert} = insertStatement(statement);
+		messages.push(createMessage(FRONTEND.parse, encodeText(name), statement.definition));
+		expectations.push({
+			end: isParseEnd, replacement, apply, revert,
 		});
+		return name;
 	}
 
-	function isPrepared(statement: PreparedStatement): boolean {
-		return statement.upstreamName === '' ? statements.unnamed === statement : statements.named.has(statement.upstreamName);
+	/** Finds the name under which a statement is prepared on the connection. */
+	function findName(statement: PreparedStatement): string | undefined {
+		return statement.isNamed ? statements.findName(statement) : (statements.unnamed === statement ? '' : undefined);
 	}
 
-	function appendMissingParse(statement: PreparedStatement): void {
-		if (!isPrepared(statement)) {
-			appendParse(statement, NO_BYTES);
-		}
+	/** Returns the name of a statement, and prepares it if it is not prepared yet. */
+	function resolveName(statement: PreparedStatement): string {
+		return findName(statement) ?? appendParse(statement, NO_BYTES);
+	}
+
+	function isRefused({statements: classes}: PreparedStatement): boolean {
+		return hasTransactionFailed && classes.some(({kind}) => kind !== 'commit' && kind !== 'rollback');
 	}
 
 	function encodeParse({name, statement}: Extract<RequestStep, {kind: 'parse'}>): void {
@@ -126,7 +117,7 @@
 			names.statements.insert(name, statement);
 		}
 
-		if (name !== '' && isPrepared(statement)) {
+		if (name !== '' && findName(statement) !== undefined && !isRefused(statement)) {
 			expectations.push({replacement: createParseComplete(), apply});
 		} else {
 			appendParse(statement, undefined, apply);
@@ -135,8 +126,8 @@
 
 	function encodeBind(step: Extract<RequestStep, {kind: 'bind'}>): void {
 		const {statement, portal} = step;
-		appendMissingParse(statement);
-		messages.push(statement.upstreamName === '' ? step.frame.bytes : createMessage(FRONTEND.bind, encodeText(portal), encodeText(statement.upstreamName), step.rest));
+		const name = resolveName(statement);
+		messages.push(statement.isNamed ? createMessage(FRONTEND.bind, encodeText(portal), encodeText(name), step.rest) : step.frame.bytes);
 		expectations.push({
 			end: isBindEnd, apply() {
 				names.portals.set(portal, statement);
@@ -145,8 +136,8 @@
 	}
 
 	function encodeDescribe({statement, frame}: Extract<RequestStep, {kind: 'describeStatement'}>): void {
-		appendMissingParse(statement);
-		messages.push(statement.upstreamName === '' ? frame.bytes : createMessage(FRONTEND.describe, encodeText(`S${statement.upstreamName}`)));
+		const name = resolveName(statement);
+		messages.push(statement.isNamed ? createMessage(FRONTEND.describe, encodeText(`S${name}`)) : frame.bytes);
 		expectations.push({end: isDescribeEnd});
 	}
 
@@ -186,59 +177,10 @@
 			}
 		},
 		closeOldest() {
-			const excess = Math.max(0, statements.named.size - MAX_CONNECTION_STATEMENTS);
-			[...statements.named].slice(0, excess).forEach(name => {
-				statements.named.delete(name);
+			statements.removeOldest(MAX_CONNECTION_STATEMENTS).forEach(name => {
 				messages.push(createMessage(FRONTEND.close, encodeText(`S${name}`)));
 				expectations.push({end: isCloseEnd, replacement: NO_BYTES});
 			});
 		},
 	};
 }
-
-/** Matches frames to expectations in order. After an error the database skips all messages up to Sync. */
-function createResponseMatcher(expectations: readonly Expectation[]): Omit<EncodedRequest, 'messages'> {
-	let index = 0;
-	let hasFailed = false;
-
-	function endCurrent(emit: Emit, bytes: Buffer): void {
-		if (bytes.length > 0) {
-			emit(bytes);
-		}
-
-		expectations[index]!.apply?.();
-		index++;
-		start(emit);
-	}
-
-	function start(emit: Emit): void {
-		const local = expectations[index];
-		if (local && !local.end) {
-			endCurrent(emit, local.replacement!);
-		}
-	}
-
-	return {
-		start,
-		take(frame, emit) {
-			if (frame.type === BACKEND.errorResponse) {
-				expectations.slice(index).forEach(expectation => {
-					expectation.revert?.();
-				});
-				index = expectations.length;
-				hasFailed = true;
-				emit(frame.bytes);
-				return;
-			}
-
-			const current = expectations[index];
-			if (current?.end?.(frame.type)) {
-				endCurrent(emit, current.replacement ?? frame.bytes);
-			} else if (current?.replacement === undefined) {
-				emit(frame.bytes);
-			}
-		},
-		isComplete: () => index >= expectations.length,
-		hasFailed: () => hasFailed,
-	};
-}
--- a/packages/heatherpond-postgres/src/request-exchange.ts
+++ b/packages/heatherpond-postgres/src/request-exchange.ts
@@ -9,6 +9,7 @@
 import {UpstreamError} from './postgres-error.js';
 import {encodeRequest} from './request-encoding.js';
 import type {RunningRequest, ConnectionAssignment} from './running-request.js';
+import {SQL_STATE} from './sql-states.js';
 import {startResponseWatchdog} from './response-watchdog.js';
 import {isResponseFreshEnough} from './request-routing.js';
 
@@ -36,12 +37,20 @@
 	const {request} = running;
 	const variable = request.statements.find(statement => statement.kind === 'variable');
 	if (variable) {
-		connection.statements.variables = undefined;
+		connection.statements.updateVariables(undefined);
 	}
 
 	const isInTransaction = mode !== 'alone';
+	if (mode !== 'transaction') {
+		connection.statements.endLocalVariables();
+	}
+
+	if (request.statements.some(({isLocalSetting}) => isLocalSetting)) {
+		connection.statements.startLocalVariables();
+	}
+
 	const encoded = encodeRequest({
-		request, statements: connection.statements, names: context.names, isInTransaction,
+		request, statements: connection.statements, names: context.names, isInTransaction, hasTransactionFailed: assignment.hasFailed,
 	});
 	const answer = createClientResponse({
 		output: context.output,
@@ -68,9 +77,11 @@
 		// An error behind SET, in the same request, has undone it.
 		if (variable && answer.readTag() === 'SET' && !encoded.hasFailed() && answer.readDiscardReason() === undefined) {
 			context.settings = applyVariable(context.settings, variable);
-			connection.statements.variables = context.settings.variablesText;
+			connection.statements.updateVariables(context.settings.variablesText);
 		}
 
+		assignment.hasFailed = end.status === 'E';
+		assignment.mayHoldState ||= request.statements.some(({isUnreadable}) => isUnreadable) && answer.readErrorCode() !== SQL_STATE.syntaxError;
 		return {
 			...end, answer, discardReason: answer.readDiscardReason(), hasFailed: encoded.hasFailed(),
 		};
--- a/packages/heatherpond-postgres/src/upstream-connection.ts
+++ b/packages/heatherpond-postgres/src/upstream-connection.ts
@@ -8,6 +8,7 @@
 import {
 	BACKEND, createFieldReader, createFrameReader, parseServerError, WireError, type Frame, type TransactionStatus,
 } from 'heatherpond-wire';
+import {createConnectionStatements, type ConnectionStatements} from './connection-statements.js';
 import {UpstreamError} from './postgres-error.js';
 import {createAuthenticationListener, type UpstreamCredentials} from './upstream-authentication.js';
 
@@ -43,16 +44,6 @@
 	readonly isComplete?: () => boolean;
 };
 
-/** Prepared statements and session variables of a connection, as the database holds them. */
-export type ConnectionStatements = {
-	/** Names of prepared statements, oldest first. */
-	readonly named: Set<string>;
-	/** Identity of the current unnamed statement. */
-	unnamed: unknown;
-	/** SQL text that set the session variables; `undefined` when their state is unknown. */
-	variables: string | undefined;
-};
-
 /** Connection to a database that has completed its startup. */
 export type UpstreamConnection = {
 	readonly member: Member;
@@ -85,6 +76,7 @@
 /** Name of the ParameterStatus parameter with which a database reports a log position, as `term:position`. */
 export const POSITION_PARAMETER = 'heatherpond.position';
 
+const POSITION_VALUE = /^(?<term>\d{1,15}):(?<position>\d{1,20})$/v;
 const POSITION_PREFIX = Buffer.from(`${POSITION_PARAMETER}\0`);
 /** Startup parameters that let a database read SQL as the proxy does, whatever its own defaults are. */
 const SQL_GRAMMAR = {standard_conforming_strings: 'on'};
@@ -153,7 +145,7 @@
 
 	return {
 		member,
-		statements: {named: new Set(), unnamed: undefined, variables: ''},
+		statements: createConnectionStatements(),
 		async exchange(messages, onFrame, deadline, hooks) {
 			if (socket.destroyed) {
 				throw new UpstreamError('the connection to the database is closed');
@@ -266,6 +258,10 @@
 
 	const fields = createFieldReader(frame.body);
 	fields.readText();
-	const [term, position] = fields.readText().split(':');
-	return {term: Number(term), position: BigInt(position ?? '0')};
+	const groups = POSITION_VALUE.exec(fields.readText())?.groups;
+	if (!groups) {
+		throw new WireError('the database reported a log position that is not of the form term:position');
+	}
+
+	return {term: Number(groups.term), position: BigInt(groups.position!)};
 }
