Split the exchange of usage reports into sending, sums and receiving

Cause: usage-exchange.ts had 345 lines, 247 of them one function, which sent reports, applied those of others and summed up the usage elsewhere.

The code is moved; the package's public face, the messages and the log events are the same.

--- a/packages/heatherpond-fleet/src/usage-exchange.ts
+++ b/packages/heatherpond-fleet/src/usage-exchange.ts
@@ -5,7 +5,7 @@
  * other hosts of its domain an overview of all domains.
  */
 import {
-	runPeriodically, startLoop, type Deadline, type Instant,
+	runPeriodically, startLoop, type Instant,
 } from 'heatherpond-core';
 import type {PositionTracker} from 'heatherpond-session';
 import type {FindDomainLeader} from './domain-leader.js';
@@ -16,31 +16,22 @@
 import type {FleetServices} from './fleet-services.js';
 import {registerClockListener} from './fleet-state.js';
 import type {HostContact, RegisteredIncarnation} from './host-message.js';
-import {GATHERING_MS, type HostMessages} from './host-messages.js';
+import type {HostMessages} from './host-messages.js';
 import {createOwnReports, type HostUsage} from './own-reports.js';
 import {findNextPoll, PEER_POLL_INTERVAL_MS} from './poll-schedule.js';
 import {createRemoteDomains} from './remote-domains.js';
-import {
-	countTeamDemand, computeOthersUsage, computeTotalUsage, createDatabaseUsageCache,
-} from './remote-usage.js';
+import {countTeamDemand} from './remote-usage.js';
 import type {TeamUsage} from './team-limits.js';
 import {applyReportedPositions} from './shared-positions.js';
-import type {
-	DomainDigest, DomainMember, DomainUsage, UsageReport,
-} from './usage-report.js';
+import {createUsageElsewhere} from './usage-elsewhere.js';
+import type {DomainDigest, DomainMember, UsageReport} from './usage-report.js';
+import {createUsageSender} from './usage-sender.js';
 
 /** Time between two reports of a failure domain to the others, in milliseconds. */
 const DOMAIN_REPORT_INTERVAL_MS = 1200;
-/** Time for which what a leader sends to its domain waits for the next response to each host, in milliseconds: one poll interval. */
-const RELAY_DELAY_MS = PEER_POLL_INTERVAL_MS;
-/** Number of hosts of a domain up to which they report to each other and not only to the leader. */
-const MAX_MESH_HOSTS = 6;
 /** Minimum time between two digests that answer the digest of another host, in milliseconds. */
 const MIN_DIGEST_REPLY_INTERVAL_MS = 100;
-/** Age of the last report up to which a domain peer counts as in contact with this host, in milliseconds: one interval and a margin. */
-const CONTACT_EXPIRY_MS = 1600;
-/** Time after the start of a host for which every domain counts that has not reported, even if none of its hosts is known, in milliseconds. */
-const DOMAIN_START_MS = 5000;
+
 /** Usage of the other hosts, as received in their reports. */
 export type UsageExchange = {
 	/** Handles the report of another host; reports that are older than the last one of the same incarnation are ignored. */
@@ -107,72 +98,21 @@
 		clock, identity, positions, readHostUsage, readReceivedReports: () => [...peers.readReports(), ...remoteDomains.readReceived()], readMemberList: peers.readMemberList,
 	});
 	const {findSentAt} = ownReports;
-	const {createDigest, computeDomainUsage} = createDomainDigests({
+	const digests = createDomainDigests({
 		clock, incarnation: identity.incarnation, peers, ownReports, remoteDomains,
 	});
+	const sender = createUsageSender({
+		clock, ownDomain: identity.domain, messages, peers, remoteDomains, ownReports, digests, recordReported, isDiscovering,
+	});
+	const elsewhere = createUsageElsewhere({
+		clock, ownDomain: identity.domain, domains, startedAt, peers, remoteDomains, ownReports, readRegistered: messages.readPeers,
+	});
 	let lastDigestReplyAt: Instant = Number.NEGATIVE_INFINITY;
 	let stopDigestTimer = (): void => undefined;
 
-	function isLeader(): boolean {
-		return peers.findLeader() === undefined && !isDiscovering();
-	}
-
-	/** Sends the report of this host at once, or the digest if it is the leader. */
-	function sendReport(): void {
-		if (isLeader()) {
-			messages.sendDigest(createDigest, peers.readContacts());
-		} else {
-			sendOwnReport();
-		}
-	}
-
-	function sendOwnReport(sendBy?: Deadline): void {
-		const leader = peers.findLeader();
-		const receivers = leader && readTrustedDigest() ? [leader] : peers.readContacts();
-		const report = ownReports.createReport(receivers);
-		recordReported();
-		messages.sendUsage(report, receivers, sendBy);
-	}
-
-	/** Reports with the next requests of this host, or with the next responses to those that send it requests if it is the leader. */
-	function sendPeriodicReport(): void {
-		const now = clock.readNow();
-		if (!isLeader()) {
-			sendOwnReport(now + GATHERING_MS);
-			return;
-		}
-
-		const followers = new Set(peers.readReports().map(({report}) => report.host));
-		const contacts = peers.readContacts();
-		messages.sendDigest(createDigest, contacts.filter(({host}) => followers.has(host)), now + RELAY_DELAY_MS);
-		messages.sendDigest(createDigest, contacts.filter(({host}) => !followers.has(host)));
-	}
-
 	function sendReportsAtOnce(): void {
-		sendReport();
-		sendDomainReport();
-	}
-
-	function sendDomainReport(): void {
-		if (isLeader()) {
-			const receivers = remoteDomains.findReceivers(readRemoteHosts());
-			const report = ownReports.createReport(receivers);
-			recordReported();
-			// Not from the cache: the buckets record the demand of this instant.
-			messages.sendUsage({...report, ...computeDomainUsage(report), isOfDomain: true}, receivers);
-		}
-	}
-
-	/** Reads the digest where it stands for the reports of the domain peers; in a small domain their own reports are more recent. */
-	function readTrustedDigest(): ReceivedDigest | undefined {
-		const received = peers.readDigest();
-		return received && received.members.length > MAX_MESH_HOSTS ? received : undefined;
-	}
-
-	/** Counts the domain peers with which this host is in contact: those that the leader names, or those that report to this host. */
-	function countLivePeers(): number {
-		const trusted = readTrustedDigest();
-		return trusted ? trusted.members.length - 1 : peers.readReports().filter(({receivedAt}) => receivedAt + CONTACT_EXPIRY_MS > clock.readNow()).length;
+		sender.sendReport();
+		sender.sendDomainReport();
 	}
 
 	function applyReport(report: UsageReport, isRelayed: boolean): void {
@@ -183,7 +123,7 @@
 		}
 
 		applyReportedPositions(report, identity.host, findSentAt, positions);
-		databaseUsage.clear();
+		elsewhere.databaseUsage.clear();
 		if (isDomainPeer) {
 			applyPeerReport(report);
 		} else {
@@ -195,40 +135,20 @@
 		if (report.hasLeft) {
 			peers.removeHost(report.host);
 		} else if (peers.applyReport(report)) {
-			notifyNewHost(report);
+			sender.notifyNewHost(report);
 			handleNewPeer();
 		}
 	}
 
-	/** Makes this host known to one that has just started: it needs the demand at the other hosts, and whom to follow. */
-	function notifyNewHost(newHost: HostContact): void {
-		if (isLeader()) {
-			messages.sendDigest(createDigest, [newHost]);
-		} else if (!readTrustedDigest()) {
-			messages.sendUsage(ownReports.createReport([newHost]), [newHost]);
-		}
-	}
-
 	function applyDomainReport(report: UsageReport, isRelayed: boolean): void {
 		if (remoteDomains.applyReport(report) && !isRelayed) {
-			// The receivers know positions from this host, and the echoes are for it alone.
-			messages.sendRelayed({...report, positions: undefined, echoes: undefined}, findRelayReceivers(), clock.readNow() + RELAY_DELAY_MS);
-		}
-	}
-
-	/** Finds the domain peers that need the single reports of other domains: the leader and its successors, and all of them while no leader is known. */
-	function findRelayReceivers(): readonly HostContact[] {
-		const leader = peers.findLeader();
-		if (leader) {
-			return [leader];
+			sender.forwardDomainReport(report);
 		}
-
-		return isLeader() ? peers.findSuccessors() : peers.readContacts();
 	}
 
 	function applyDigest(digest: DomainDigest): readonly DomainMember[] {
 		applyReportedPositions(digest.own, identity.host, findSentAt, positions);
-		databaseUsage.clear();
+		elsewhere.databaseUsage.clear();
 		const isNew = peers.applyReport(digest.own);
 		if (isNew) {
 			handleNewPeer();
@@ -237,10 +157,10 @@
 		const received = peers.applyDigest(digest);
 		if (received) {
 			applyLeaderDigest(received);
-		} else if (isLeader() && (isNew || clock.readNow() >= lastDigestReplyAt + MIN_DIGEST_REPLY_INTERVAL_MS)) {
+		} else if (sender.isLeader() && (isNew || clock.readNow() >= lastDigestReplyAt + MIN_DIGEST_REPLY_INTERVAL_MS)) {
 			// Two hosts consider themselves the leader; the other one learns from the digest that it is not.
 			lastDigestReplyAt = clock.readNow();
-			messages.sendDigest(createDigest, [digest.own]);
+			sender.sendDigestTo(digest.own);
 		}
 
 		return received?.members ?? digest.members ?? [];
@@ -248,57 +168,26 @@
 
 	function applyLeaderDigest({digest: {own, remote}, members}: ReceivedDigest): void {
 		stopDigestTimer();
-		stopDigestTimer = clock.registerTimer(clock.readNow() + DIGEST_EXPIRY_MS, sendReport);
+		stopDigestTimer = clock.registerTimer(clock.readNow() + DIGEST_EXPIRY_MS, sender.sendReport);
 		if (remote) {
 			remoteDomains.applyOverview(remote);
 		}
 
 		if (!members.some(({incarnation}) => incarnation === identity.incarnation)) {
 			// The leader knows this host from the store only, and registers it once it has a report.
-			messages.sendUsage(ownReports.createReport([own]), [own]);
+			sender.sendReportTo(own);
 		}
 	}
 
-	function readRemoteHosts(): readonly HostContact[] {
-		return messages.readPeers().filter(({domain}) => domain !== identity.domain);
-	}
-
-	/** Reads the usage of the other hosts of the domain. */
-	function readPeerUsage(): DomainUsage {
-		const trusted = readTrustedDigest();
-		return trusted ? computeOthersUsage(trusted.digest.usage, ownReports.readLastUsage()) : computeTotalUsage(peers.readReports().map(({report}) => report));
-	}
-
-	const databaseUsage = createDatabaseUsageCache(clock, () => [readPeerUsage(), ...remoteDomains.readRecentUsages()]);
-
-	function readTeam(team: string): TeamUsage {
-		const registered = messages.readPeers();
-		const peerCount = registered.filter(({domain}) => domain === identity.domain).length;
-		const liveDomainHosts = countLivePeers() + 1;
-		const otherDomains = clock.readNow() < startedAt + DOMAIN_START_MS ? domains : registered.map(({domain}) => domain);
-		const unreportedDomains = new Set(otherDomains.filter(domain => domain !== identity.domain && !remoteDomains.hasReported(domain)));
-		const unknownDemands = remoteDomains.countUnknownDemands(team);
-		const trusted = readTrustedDigest();
-		return {
-			otherDomains: {
-				demandPerSecond: countTeamDemand(remoteDomains.readUsages(), team), heard: remoteDomains.countReported() - unknownDemands, unheard: unreportedDomains.size + unknownDemands, coveredFraction: liveDomainHosts / Math.max(liveDomainHosts, peerCount + 1),
-			},
-			domainPeersPerSecond: trusted
-				? Math.max(0, countTeamDemand([trusted.digest.usage], team) - countTeamDemand([ownReports.readLastUsage()], team))
-				: countTeamDemand(peers.readReports().map(({report}) => report), team),
-			liveDomainHosts,
-		};
-	}
-
 	startLoop(clock, async () => {
 		const now = clock.readNow();
-		sendPeriodicReport();
+		sender.sendPeriodicReport();
 		peers.removeExpired();
 		remoteDomains.removeExpired();
 		return findNextPoll(now, PEER_POLL_INTERVAL_MS, pollPhase);
 	}, signal);
 	void runPeriodically(clock, DOMAIN_REPORT_INTERVAL_MS, async () => {
-		sendDomainReport();
+		sender.sendDomainReport();
 	}, signal);
 	// A host learns its peers when it is registered, and then reports at once so that they know its new incarnation.
 	const stopListening = services.blackboard.registerListener(({registeredAt}) => registeredAt, sendReportsAtOnce);
@@ -319,7 +208,7 @@
 		applyIntroduced(hosts) {
 			peers.insertContacts(hosts);
 			if (!peers.readDigest()) {
-				sendReport();
+				sender.sendReport();
 			}
 		},
 		findLeaderOf: domain => domain === identity.domain ? peers.findLeader() : remoteDomains.readLeaders().find(leader => leader.domain === domain),
@@ -331,15 +220,13 @@
 		readVerifiedLeaders: () => remoteDomains.readLeaders()
 			.filter(({isVerified}) => isVerified)
 			.toSorted((left, right) => left.domain < right.domain ? -1 : 1),
-		readTeam,
-		sendDeparture() {
-			messages.sendUsage(ownReports.createReport([], true), peers.readContacts());
-		},
+		readTeam: elsewhere.readTeam,
+		sendDeparture: sender.sendDeparture,
 		findDomainLeader: peers.findLeader,
 		readReceivedReports: peers.readReports,
 		findSentAt,
-		isVerifiedElsewhere: () => readPeerUsage().isVerified || remoteDomains.readLeaders().some(({isVerified}) => isVerified),
-		countRemoteStatements: database => databaseUsage.read(database).statements,
-		countRemoteConnections: database => databaseUsage.read(database).connections,
+		isVerifiedElsewhere: () => elsewhere.readPeerUsage().isVerified || remoteDomains.readLeaders().some(({isVerified}) => isVerified),
+		countRemoteStatements: database => elsewhere.databaseUsage.read(database).statements,
+		countRemoteConnections: database => elsewhere.databaseUsage.read(database).connections,
 	};
 }
