--- a/packages/heatherpond-fleet/src/index.ts
+++ b/packages/heatherpond-fleet/src/index.ts
@@ -38,6 +38,7 @@
 export * from './primary-work.js';
 export * from './promotion-decisions.js';
 export * from './promotion-controller.js';
+export type {PromotionControllerOptions} from './promotion-controller-state.js';
 export * from './promotion-run.js';
 export * from './relay-selection.js';
 export * from './relay-client.js';
