Split the hosts' messages into peers, requests and handlers

Cause: host-messages.ts had 321 lines: which hosts are peers, the responses awaited, the handlers' face and the dispatch to them, beside the messages themselves.

Change: current-peers.ts finds the peers, request-exchange.ts sends requests and matches responses, host-message-handlers.ts holds the handlers' type and calls them; host-messages.ts keeps the messages sent and the reception (185 lines). The code is moved; the package's public face, the messages and their fields are the same.

Run: npx tsc -b; npx xo on the six files; jest packages/heatherpond-fleet: 29 suites, 248 tests passed.

--- a/packages/heatherpond-fleet/src/fleet-message-handlers.ts
+++ b/packages/heatherpond-fleet/src/fleet-message-handlers.ts
@@ -3,7 +3,7 @@
 import {checkStoreEra, checkSuspension, type HostContext} from './fleet-followers.js';
 import type {HostDiscovery} from './host-discovery.js';
 import {applyHostContacts, applyHostDeparture} from './host-list.js';
-import type {HostMessageHandlers} from './host-messages.js';
+import type {HostMessageHandlers} from './host-message-handlers.js';
 import type {HostRegistration} from './host-registration.js';
 import {createStoreVersion} from './store-version.js';
 import type {TeamLimits} from './team-limits.js';
--- a/packages/heatherpond-fleet/src/host-messages.ts
+++ b/packages/heatherpond-fleet/src/host-messages.ts
@@ -1,5 +1,6 @@
 /** Datagrams between hosts: usage reports, registrations, promotions and their confirmations, suspicions, and requests with their responses. */
-import type {Deadline, Instant} from 'heatherpond-core';
+import type {Deadline} from 'heatherpond-core';
+import {createPeerFinder} from './current-peers.js';
 import {
 	parseRecord, type ConfirmationRecord, type HostRecord, type PrimacyRecord, type SuspicionRecord,
 } from './fleet-records.js';
@@ -8,53 +9,20 @@
 import type {RequestChanges} from './domain-leader.js';
 import type {SeedAddress} from './host-discovery.js';
 import {
-	hostMessageSchema, type HostContact, type HostMessage, type NotificationMessage, type RegistrationUpdate, type RequestMessage, type ResponseMessage,
+	hostMessageSchema, type HostContact, type HostMessage, type RegistrationUpdate,
 } from './host-message.js';
+import {
+	createAnswer, createResponse, handleNotification, type HostMessageHandlers,
+} from './host-message-handlers.js';
 import type {FleetServices} from './fleet-services.js';
 import type {Versioned} from './fleet-state.js';
-import {REGISTRATION_EXPIRY_MS} from './promotion-decisions.js';
-import type {CachedChanges} from './table-cache.js';
-import type {RequestGrant, Grant, TeamLimitsOptions} from './team-limits.js';
+import {createRequestExchange} from './request-exchange.js';
+import type {RequestGrant, TeamLimitsOptions} from './team-limits.js';
 import type {DomainDigest, UsageReport} from './usage-report.js';
 
-/** Age of the last known registration of a host in another domain after which it is no longer sent messages, in milliseconds. */
-const REMOTE_PEER_EXPIRY_MS = 30_000;
-
-/** Time for which the peers that were found are reused, in milliseconds. */
-const PEERS_CACHE_MS = 250;
-
 /** Time for which periodic messages to the same host are gathered, in milliseconds. */
 export const GATHERING_MS = 3;
 
-/** A request for the changes of a table. */
-type QuestionMessage = Extract<RequestMessage, {readonly kind: 'question'}>;
-
-/** Peers found among a list of hosts. */
-type FoundPeers = {readonly hosts: ReadonlyMap<string, HostRecord>; readonly storeClockOffset: number; readonly until: Instant; readonly found: readonly HostRecord[]};
-
-/** Handlers for the messages of other hosts. */
-export type HostMessageHandlers = {
-	/** Handles a usage report; the report of another domain is relayed to the own domain, unless it has been relayed already. */
-	readonly handleUsage: (report: UsageReport, isRelayed: boolean) => void;
-	/** Handles the introduction of a host that has just started; returns hosts of its domain. */
-	readonly handleIntroduction: (host: HostContact) => readonly HostContact[];
-	/** Handles the response of a seed to the introduction of this host. */
-	readonly handleIntroduced: (hosts: readonly HostContact[]) => void;
-	/** Handles the digest of the own domain's leader. */
-	readonly handleDigest: (digest: DomainDigest) => void;
-	/** Handles the notice that another host has refreshed registrations. */
-	readonly handleRegistered: (news: RegistrationUpdate) => void;
-	readonly handlePrimacy: (primacy: Versioned<PrimacyRecord>) => void;
-	readonly handleConfirmation: (confirmation: ConfirmationRecord) => void;
-	readonly handleSuspicion: (suspicion: SuspicionRecord, isSuspected: boolean) => void;
-	/** Reads the changes of a table since a version for another host. */
-	readonly readTableChanges: (table: string, after: number) => CachedChanges;
-	/** Decides how many operations of a team another host of the failure domain may admit. */
-	readonly decideGrant: (team: string, wanted: number) => Promise<Grant>;
-	/** Decides how many tokens of a team the leader of another domain is given. */
-	readonly decideTransfer: (team: string, wanted: number) => number;
-};
-
 /** Sends messages to peers: the other hosts whose registration may be valid, so that they may rely on leases. */
 export type HostMessages = {
 	/** Sends a report, at the latest by `sendBy`; until then it waits for another message to the same host. */
@@ -85,52 +53,8 @@
 /** Creates the exchange of messages; received ones are handled once handlers are registered. */
 export function createHostMessages({blackboard, clock, identity, writeEvent}: Pick<FleetServices, 'blackboard' | 'clock' | 'identity' | 'writeEvent'>, port: DatagramPort): HostMessages {
 	const datagrams = createDatagramBatches(createDatagramParts(port, clock, identity.incarnation), clock);
-	let peers: FoundPeers | undefined;
-
-	/** Finds the peers; every statement needs them, so the result is reused until the list of hosts changes, and for a short time at most. */
-	function findPeers(): readonly HostRecord[] {
-		const {hosts, storeClockOffset} = blackboard.read();
-		const now = clock.readNow();
-		if (peers?.hosts === hosts && peers.storeClockOffset === storeClockOffset && now < peers.until) {
-			return peers.found;
-		}
-
-		peers = {
-			hosts, storeClockOffset, until: now + PEERS_CACHE_MS, found: selectPeers(hosts, now + storeClockOffset),
-		};
-		return peers.found;
-	}
-
-	function selectPeers(hosts: ReadonlyMap<string, HostRecord>, storeNow: number): readonly HostRecord[] {
-		// Records of the own domain are refreshed by each received report or digest, those of other domains only when the store is read.
-		return [...hosts.values()].filter(record => record.host !== identity.host
-			&& storeNow < record.refreshedAt + (record.domain === identity.domain ? REGISTRATION_EXPIRY_MS : REMOTE_PEER_EXPIRY_MS));
-	}
-
-	/** Callbacks of requests whose response is awaited, by request id. */
-	const pendingRequests = new Map<string, (response: ResponseMessage | undefined) => void>();
-	let requestCount = 0;
-
-	function handleResponse(id: string, response: ResponseMessage | undefined): void {
-		pendingRequests.get(id)?.(response);
-		pendingRequests.delete(id);
-	}
-
-	async function sendRequest(receiver: HostContact, createRequest: (id: string) => HostMessage, {deadline, sendBy}: {readonly deadline: Deadline; readonly sendBy?: Deadline}): Promise<ResponseMessage | undefined> {
-		requestCount++;
-		const id = `${identity.incarnation}-${requestCount}`;
-		return new Promise<ResponseMessage | undefined>(resolve => {
-			const stopTimer = clock.registerTimer(deadline, () => {
-				handleResponse(id, undefined);
-			});
-			pendingRequests.set(id, response => {
-				stopTimer();
-				resolve(response);
-			});
-			datagrams.send(() => JSON.stringify(createRequest(id)), receiver, sendBy === undefined ? undefined : {sendBy});
-		});
-	}
-
+	const {sendRequest, handleResponse} = createRequestExchange(datagrams, clock, identity.incarnation);
+	const findPeers = createPeerFinder({blackboard, clock, identity});
 	const {address: ownAddress, port: ownPort, host, incarnation, domain: ownDomain} = identity;
 
 	function sendTo(receivers: readonly HostContact[], message: HostMessage, options?: SendOptions): void {
@@ -259,63 +183,3 @@
 		writeEvent('message_fault', {reason: error instanceof Error ? error.stack : String(error)});
 	}
 }
-
-async function createResponse(request: Exclude<RequestMessage, QuestionMessage>, handlers: HostMessageHandlers): Promise<ResponseMessage> {
-	if (request.kind === 'grant-question') {
-		return {kind: 'grant', id: request.id, ...await handlers.decideGrant(request.team, request.wanted)};
-	}
-
-	if (request.kind === 'transfer-question') {
-		return {kind: 'transfer', id: request.id, given: handlers.decideTransfer(request.team, request.wanted)};
-	}
-
-	handlers.handleConfirmation(request.record);
-	return {kind: 'confirmed', id: request.id};
-}
-
-/** Creates the response to a request for changes at once, so that the responses to several requests share a datagram. */
-function createAnswer(request: QuestionMessage, handlers: HostMessageHandlers): ResponseMessage {
-	const changes = handlers.readTableChanges(request.table, request.after);
-	return changes.kind === 'page'
-		? {kind: 'answer', id: request.id, page: {...changes.page, rows: [...changes.page.rows]}}
-		: {kind: 'answer', id: request.id, isTooLarge: changes.kind === 'too_large'};
-}
-
-function handleNotification(message: NotificationMessage | undefined, handlers: HostMessageHandlers): void {
-	switch (message?.kind) {
-		case 'usage': {
-			handlers.handleUsage(message.report, message.isRelayed);
-			break;
-		}
-
-		case 'introduced': {
-			handlers.handleIntroduced(message.hosts);
-			break;
-		}
-
-		case 'digest': {
-			handlers.handleDigest(message.digest);
-			break;
-		}
-
-		case 'registered': {
-			handlers.handleRegistered(message.news);
-			break;
-		}
-
-		case 'primacy': {
-			handlers.handlePrimacy({record: message.record, version: message.version});
-			break;
-		}
-
-		case 'suspicion': {
-			handlers.handleSuspicion(message.record, message.isSuspected);
-			break;
-		}
-
-		case undefined: {
-			// Datagrams of other programs or incompatible versions are ignored.
-			break;
-		}
-	}
-}
--- a/packages/heatherpond-fleet/src/index.ts
+++ b/packages/heatherpond-fleet/src/index.ts
@@ -27,6 +27,7 @@
 export * from './host-list.js';
 export type * from './host-message.js';
 export * from './host-messages.js';
+export type {HostMessageHandlers} from './host-message-handlers.js';
 export * from './host-registration.js';
 export type {HostRegistrationOptions} from './host-registration-state.js';
 export * from './memory-datagrams.js';
