Split the client of relays into links, clocks, liveness and steps

The code is moved; the package's public face, the messages and the log events are the same.

Run: npx tsc -b; npx xo on the five files; jest packages/heatherpond-fleet: 29 suites, 248 tests passed.

--- a/packages/heatherpond-fleet/src/relay-client.ts
+++ b/packages/heatherpond-fleet/src/relay-client.ts
@@ -1,12 +1,16 @@
 /** Sends statements to databases through connections that other hosts, the relays, have open. */
-import type {Clock, Deadline, Instant} from 'heatherpond-core';
+import type {Clock, Instant} from 'heatherpond-core';
 import {
-	createExpiredError, createOverloadError, createUpstreamError, type ConnectionHandle, type ConnectionRequest, type StepResult, type UpstreamFailure, type ConnectionStep, type WriteEvent,
+	createOverloadError, createUpstreamError, type ConnectionHandle, type ConnectionRequest, type UpstreamFailure, type WriteEvent,
 } from 'heatherpond-session';
 import type {HostRecord} from './fleet-records.js';
-import {MAX_LINK_MESSAGE_LENGTH, type HostLink, type HostLinkPort} from './host-links.js';
-import {formatRelayMessage, parseRelayMessage, type EncodedStep} from './relay-messages.js';
-import {createRelayedConnection, type StepMessage} from './relayed-connection.js';
+import type {HostLinkPort} from './host-links.js';
+import {appendRelayClock} from './relay-clock.js';
+import type {RelayLink} from './relay-link.js';
+import {checkLiveness} from './relay-liveness.js';
+import {formatRelayMessage, parseRelayMessage} from './relay-messages.js';
+import {createRelayStepExchange} from './relay-step-exchange.js';
+import {createRelayedConnection} from './relayed-connection.js';
 
 /** Client of the relays, one per host. */
 export type RelayClient = {
@@ -29,37 +33,8 @@
 const MAX_BACKOFF_MS = 4000;
 /** The same for a relay whose machine has closed or refused the link, because its process restarts. */
 const CLOSED_BACKOFF_MS = 250;
-/** Time without a response after which a relay is pinged, and time within which it must answer the ping, in milliseconds. */
-const PING_AFTER_MS = 150;
-const PING_TIMEOUT_MS = 250;
-/** Time since the last message from a relay after which its link is pinged before a non-repeatable step is sent, in milliseconds. */
-const MAX_UNCHECKED_IDLE_MS = 500;
 /** Time for which a link that is no longer used for new work stays open, so that the work on it can end, in milliseconds. */
 const RETIREMENT_MS = 4000;
-/** Number of the last times at which a relay told its clock that are remembered. */
-const MAX_RELAY_CLOCKS = 8;
-/** Time beyond the deadline of a step for which its response is awaited, in milliseconds. */
-const DEADLINE_GRACE_MS = 60;
-
-/** A step whose response is awaited. */
-type PendingStep = {readonly resolve: (end: StepResult) => void; readonly reject: (error: Error) => void};
-
-/** What a relay said of its clock, and when that arrived here. */
-type RelayClock = {readonly toldAt: Instant; readonly receivedAt: Instant};
-
-/** A link to a relay, and the steps in progress on it. */
-type RelayLink = {
-	readonly relay: HostRecord;
-	readonly link: HostLink;
-	readonly waiting: Map<number, PendingStep>;
-	readonly pongListeners: Set<() => void>;
-	/** Number of connection handles created on the link; the last one is the id of the newest handle. */
-	loans: number;
-	lastReceivedAt: Instant;
-	/** What the relay has said of its clock, and when that arrived here; the oldest first. */
-	relayClocks: readonly RelayClock[];
-	isClosed: boolean;
-};
 
 /** A relay that has failed: how often in a row, when it is pinged, and whether a ping is under way. */
 type FailedRelay = {readonly failures: number; readonly retryAt: Instant; isPinged: boolean};
@@ -69,6 +44,7 @@
 	const linksByHost = new Map<string, RelayLink>();
 	/** Relays that have failed and have not answered since. */
 	const failedRelays = new Map<string, FailedRelay>();
+	const {exchange, checkLink} = createRelayStepExchange(clock, closeLink);
 
 	function recordFailure(host: string, backoffMs: number): void {
 		const failures = (failedRelays.get(host)?.failures ?? 0) + 1;
@@ -80,7 +56,7 @@
 		failed.isPinged = true;
 		const relayLink = findLink(relay);
 		// The response, or any other message, removes the relay from the failed ones.
-		if (!await checkLiveness(relayLink, Number.POSITIVE_INFINITY)) {
+		if (!await checkLiveness(clock, relayLink, Number.POSITIVE_INFINITY)) {
 			closeLink(relayLink, 'silent');
 		}
 	}
@@ -108,8 +84,7 @@
 		failedRelays.delete(relayLink.relay.host);
 		const message = parseRelayMessage(text);
 		if (message && 'sentAt' in message) {
-			const told = {toldAt: message.sentAt, receivedAt: relayLink.lastReceivedAt};
-			relayLink.relayClocks = [...relayLink.relayClocks.slice(1 - MAX_RELAY_CLOCKS), told];
+			relayLink.relayClocks = appendRelayClock(relayLink.relayClocks, {toldAt: message.sentAt, receivedAt: relayLink.lastReceivedAt});
 		}
 
 		switch (message?.kind) {
@@ -181,98 +156,6 @@
 		return relayLink;
 	}
 
-	/** Pings the relay; resolves to whether it responded in time. */
-	async function checkLiveness(relayLink: RelayLink, deadline: Deadline): Promise<boolean> {
-		return new Promise<boolean>(resolve => {
-			function end(isAlive: boolean): void {
-				stopTimer();
-				relayLink.pongListeners.delete(handlePong);
-				resolve(isAlive);
-			}
-
-			function handlePong(): void {
-				end(true);
-			}
-
-			const stopTimer = clock.registerTimer(Math.min(deadline, clock.readNow() + PING_TIMEOUT_MS), () => {
-				end(false);
-			});
-			relayLink.pongListeners.add(handlePong);
-			relayLink.link.send(formatRelayMessage({kind: 'ping'}));
-		});
-	}
-
-	async function exchange(relayLink: RelayLink, message: StepMessage, deadline: Deadline): Promise<StepResult> {
-		const {loan} = message;
-		const sentAt = clock.readNow();
-		if (sentAt >= deadline) {
-			throw createExpiredError();
-		}
-
-		message.step.relayDeadline = convertDeadline(relayLink, deadline);
-		const text = formatRelayMessage(message);
-		if (text.length > MAX_LINK_MESSAGE_LENGTH) {
-			throw createUpstreamError('step is too long to be sent to a relay', 'unsendable', false);
-		}
-
-		const stopTimers = [
-			clock.registerTimer(deadline + DEADLINE_GRACE_MS, () => {
-				relayLink.waiting.get(loan)?.reject(createUpstreamError('relay did not respond within the deadline of the step', 'silent', true));
-			}),
-			clock.registerTimer(sentAt + PING_AFTER_MS, () => {
-				// A ping tells a slow database from an unreachable relay.
-				void closeUnresponsiveLink(relayLink, sentAt);
-			}),
-		];
-		try {
-			return await new Promise<StepResult>((resolve, reject) => {
-				relayLink.waiting.set(loan, {resolve, reject});
-				relayLink.link.send(text);
-			});
-		} finally {
-			stopTimers.forEach(stop => {
-				stop();
-			});
-			relayLink.waiting.delete(loan);
-		}
-	}
-
-	/**
-	 * Converts a deadline to the clock of the relay. What it told was true when it arrived here, or some time before; what was on its
-	 * way for the shortest time gives the deadline that is least too early.
-	 */
-	function convertDeadline({relayClocks}: RelayLink, deadline: Deadline): EncodedStep['relayDeadline'] {
-		const [first, ...others] = relayClocks;
-		if (!first) {
-			return undefined;
-		}
-
-		const {toldAt, receivedAt} = others.reduce((best, next) => next.toldAt - next.receivedAt > best.toldAt - best.receivedAt ? next : best, first);
-		return {toldAt, deadline: Math.floor(toldAt + (deadline - receivedAt))};
-	}
-
-	async function closeUnresponsiveLink(relayLink: RelayLink, sentAt: Instant): Promise<void> {
-		if (relayLink.isClosed || relayLink.lastReceivedAt >= sentAt) {
-			return;
-		}
-
-		const isAlive = await checkLiveness(relayLink, Number.POSITIVE_INFINITY);
-		if (!isAlive) {
-			closeLink(relayLink, 'silent');
-		}
-	}
-
-	async function checkLink(relayLink: RelayLink, step: ConnectionStep): Promise<void> {
-		const isTrusted = clock.readNow() - relayLink.lastReceivedAt <= MAX_UNCHECKED_IDLE_MS;
-		if (step.isSentOnce && !isTrusted && !await checkLiveness(relayLink, step.deadline)) {
-			closeLink(relayLink, 'silent');
-		}
-
-		if (relayLink.isClosed) {
-			throw createUpstreamError('relay is unreachable', 'relay', false);
-		}
-	}
-
 	return {
 		createHandle(relay, database, request) {
 			const relayLink = findLink(relay);
