--- a/packages/heatherpond-spec/src/store-primacy/store-primacy-specification.ts
+++ b/packages/heatherpond-spec/src/store-primacy/store-primacy-specification.ts
@@ -1,7 +1,9 @@
 /** The specification of primacy on the store with its invariants, scopes and mutants. */
 import {createPromotionLease, PROMOTION_LEASE_MS, isProven} from 'heatherpond-fleet';
 import type {Mutant, Specification} from '../model.js';
-import {createStorePrimacyModel, STORE_PRIMACY_INVARIANTS, type StorePrimacyScope} from './store-primacy-model.js';
+import {STORE_PRIMACY_INVARIANTS} from './store-primacy-invariants.js';
+import {createStorePrimacyModel} from './store-primacy-model.js';
+import type {StorePrimacyScope} from './store-primacy-steps.js';
 import {STORE_PRIMACY_RULES, type StorePrimacyRules} from './store-primacy-rules.js';
 
 /** Two hosts that race to promote; one of them also writes. */
