Let no statement run outside of the transaction for which it was sent

A client that sends the statements of a transaction together got its later writes committed by themselves when the first one was refused (PINNED, UNASKED): the session was idle again, and they ran as single statements. Clients that wait for each response are not concerned.

Now a session knows when a transaction ended without its client; what had arrived by then is refused as rolled back, up to the client's own end of that transaction or the BEGIN of the next.

--- a/packages/heatherpond-session/src/client-session.ts
+++ b/packages/heatherpond-session/src/client-session.ts
@@ -4,6 +4,7 @@
 import {createRefusal, type Refusal} from './refusal.js';
 import type {RunningStatement} from './running-statement.js';
 import {createRefusedError, RefusedError} from './session-error.js';
+import {isSentTooEarly, recordUnaskedEnd} from './sent-statements.js';
 import type {SessionReply} from './session-reply.js';
 import type {SessionAccess, SessionServices, StatementObservation} from './session-services.js';
 import {
@@ -45,7 +46,7 @@
 	return {
 		async run(statement, arrivedAt) {
 			session.stopIdleTimer?.();
-			const reply = await runStatement(session, statement, arrivedAt);
+			const reply = await runStatementInOrder(session, statement, arrivedAt);
 			services.recordStatement(createObservation(caller, reply, services.clock.readNow() - arrivedAt));
 			registerIdleTimer(session);
 			return reply;
@@ -81,6 +82,19 @@
 	}
 }
 
+/** Runs a statement, unless it belongs to a transaction that has ended without its client. */
+async function runStatementInOrder(session: SessionContext, statement: Statement, arrivedAt: Instant): Promise<SessionReply> {
+	const {services, state} = session;
+	if (isSentTooEarly(state, statement, arrivedAt)) {
+		return refuse(session, statement, createRefusal('aborted', 'the transaction of the statement was rolled back before the statement ran'), {endsSession: false});
+	}
+
+	const wasOpen = state.phase.kind !== 'idle';
+	const reply = await runStatement(session, statement, arrivedAt);
+	recordUnaskedEnd(state, statement, {wasOpen, now: services.clock.readNow()});
+	return reply;
+}
+
 async function runStatement(session: SessionContext, statement: Statement, arrivedAt: Instant): Promise<SessionReply> {
 	const {services, caller, state} = session;
 	const access = services.access.decideAccess(caller.database, caller.key);
--- a/packages/heatherpond-session/src/session-state.ts
+++ b/packages/heatherpond-session/src/session-state.ts
@@ -38,6 +38,8 @@
 	readonly room: ConnectionMemory;
 	/** Length of the variables and statements, with their names. */
 	heldLength: number;
+	/** When a transaction ended without its client; absent once the client has been seen to know. */
+	endedAt?: Instant;
 	/** Log position of the session's newest commit. */
 	lastCommitPosition?: LogPosition;
 };
