--- a/packages/heatherpond-postgres/src/__tests__/unit/session-variables.test.ts
+++ b/packages/heatherpond-postgres/src/__tests__/unit/session-variables.test.ts
@@ -3,21 +3,13 @@
 	afterEach, beforeEach, describe, expect, test,
 } from '@jest/globals';
 import fc from 'fast-check';
-import type {ExecutedStatement} from 'heatherpond-standin';
 import type pg from 'pg';
-import {startTestGroup, type TestGroup} from '../support/test-group.js';
+import {startObservedGroup, type ObservedGroup} from '../support/observed-group.js';
 
-let fixture: TestGroup;
-let executed: ExecutedStatement[];
+let fixture: ObservedGroup;
 
 beforeEach(async () => {
-	fixture = await startTestGroup({maxConnections: 1});
-	executed = [];
-	fixture.group.members.forEach(({observer}) => {
-		observer.handleStatement = statement => {
-			executed.push(statement);
-		};
-	});
+	fixture = await startObservedGroup();
 });
 
 afterEach(async () => {
@@ -31,9 +23,9 @@
 /** Runs a statement after another session has used the connections, and returns the settings that it ran under. */
 async function readSettings(client: pg.Client, other: pg.Client): Promise<Readonly<Record<string, string>>> {
 	await other.query('SELECT pg_sleep(0)');
-	executed.length = 0;
+	fixture.executed.length = 0;
 	await client.query('SELECT pg_sleep(0)');
-	return executed.findLast(({text}) => text === 'SELECT pg_sleep(0)')!.settings;
+	return fixture.executed.findLast(({text}) => text === 'SELECT pg_sleep(0)')!.settings;
 }
 
 describe('session variables on pooled connections', () => {
--- a/packages/heatherpond-postgres/src/__tests__/unit/shared-statements.test.ts
+++ b/packages/heatherpond-postgres/src/__tests__/unit/shared-statements.test.ts
@@ -1,23 +1,15 @@
 import {
 	afterEach, beforeEach, describe, expect, test,
 } from '@jest/globals';
-import type {ExecutedStatement} from 'heatherpond-standin';
 import type pg from 'pg';
 import {serialize} from 'pg-protocol';
-import {startTestGroup, type TestGroup} from '../support/test-group.js';
+import {startObservedGroup, type ObservedGroup} from '../support/observed-group.js';
 import {openWireClient} from '../support/wire-client.js';
 
-let fixture: TestGroup;
-let executed: ExecutedStatement[];
+let fixture: ObservedGroup;
 
 beforeEach(async () => {
-	fixture = await startTestGroup({maxConnections: 1});
-	executed = [];
-	fixture.group.members.forEach(({observer}) => {
-		observer.handleStatement = statement => {
-			executed.push(statement);
-		};
-	});
+	fixture = await startObservedGroup();
 });
 
 afterEach(async () => {
@@ -64,7 +56,7 @@
 		client.send(serialize.query('ROLLBACK'), serialize.parse({name: 'a', text: 'SELECT pg_sleep(0) AS two'}), serialize.bind({statement: 'a'}), serialize.execute(), serialize.sync());
 		await client.waitForReady();
 		expect(await client.waitForReady()).toBe('S12DCZ');
-		expect(executed.at(-1)!.text).toBe('SELECT pg_sleep(0) AS two');
+		expect(fixture.executed.at(-1)!.text).toBe('SELECT pg_sleep(0) AS two');
 	});
 
 	test('a statement cannot be prepared in a failed transaction, even if the connection has it', async () => {
--- a/packages/heatherpond-postgres/src/__tests__/unit/undone-variables.test.ts
+++ b/packages/heatherpond-postgres/src/__tests__/unit/undone-variables.test.ts
@@ -1,22 +1,14 @@
 import {
 	afterEach, beforeEach, describe, expect, test,
 } from '@jest/globals';
-import type {ExecutedStatement} from 'heatherpond-standin';
 import {serialize} from 'pg-protocol';
-import {startTestGroup, type TestGroup} from '../support/test-group.js';
+import {startObservedGroup, type ObservedGroup} from '../support/observed-group.js';
 import {openWireClient} from '../support/wire-client.js';
 
-let fixture: TestGroup;
-let executed: ExecutedStatement[];
+let fixture: ObservedGroup;
 
 beforeEach(async () => {
-	fixture = await startTestGroup({maxConnections: 1});
-	executed = [];
-	fixture.group.members.forEach(({observer}) => {
-		observer.handleStatement = statement => {
-			executed.push(statement);
-		};
-	});
+	fixture = await startObservedGroup();
 });
 
 afterEach(async () => {
@@ -32,7 +24,7 @@
 		await client.waitForReady();
 		client.send(serialize.query('SELECT pg_sleep(0)'));
 		await client.waitForReady();
-		expect(executed.at(-1)!.settings).toEqual({'a.one': 'before'});
+		expect(fixture.executed.at(-1)!.settings).toEqual({'a.one': 'before'});
 	});
 
 	test('SET before a Flush, which a later error would undo, is refused', async () => {
