--- a/packages/heatherpond-session/src/client-session.ts
+++ b/packages/heatherpond-session/src/client-session.ts
@@ -1,18 +1,20 @@
 /** Session of one client connection: runs its statements in order and produces one reply for each. */
 import type {Instant} from 'heatherpond-core';
+import {createAccessRefusal} from './access-refusal.js';
 import {computeSpreadRetry} from './attempt-rules.js';
 import {createRefusal, type Refusal} from './refusal.js';
 import type {RunningStatement} from './running-statement.js';
 import {createRefusedError, RefusedError} from './session-error.js';
 import {isSentTooEarly, recordUnaskedEnd} from './sent-statements.js';
 import type {SessionReply} from './session-reply.js';
-import type {SessionAccess, SessionServices, StatementObservation} from './session-services.js';
+import type {SessionAccess, SessionServices} from './session-services.js';
 import {
 	applyStatement, createSessionState, readTransactionState, type OpenTransaction, type SessionPhase, type SessionState, type StatementPlan,
 } from './session-state.js';
 import {
 	runFirstTransactionStatement, runSingleStatement, type AttemptContext,
 } from './statement-attempts.js';
+import {createObservation} from './statement-observation.js';
 import type {StatementTarget} from './statement-target.js';
 import type {Statement} from './statement.js';
 import {
@@ -64,24 +66,6 @@
 	};
 }
 
-function createObservation({database}: SessionClient, reply: SessionReply, elapsedMs: number): StatementObservation {
-	switch (reply.kind) {
-		case 'answer': {
-			return {
-				route: database, outcome: reply.isError ? 'failed' : 'served', database: reply.database, elapsedMs,
-			};
-		}
-
-		case 'done': {
-			return {route: database, outcome: 'done', elapsedMs};
-		}
-
-		case 'refused': {
-			return {route: database, outcome: reply.refusal.code, elapsedMs};
-		}
-	}
-}
-
 /** Runs a statement, unless it belongs to a transaction that has ended without its client. */
 async function runStatementInOrder(session: SessionContext, statement: Statement, arrivedAt: Instant): Promise<SessionReply> {
 	const {services, state} = session;
@@ -117,29 +101,6 @@
 
 /** Mean retry-after hint, in milliseconds, while messages under way take up all memory for them. */
 const MEMORY_RETRY_AFTER_MS = 250;
-/** Retry-after hint, in milliseconds, while the host cannot verify that its contracts are current. */
-const UNVERIFIED_RETRY_AFTER_MS = 200;
-
-function createAccessRefusal(reason: Extract<SessionAccess, {kind: 'refuse'}>['reason']): Refusal {
-	switch (reason) {
-		case 'unknown_database': {
-			return createRefusal('unknown_database', 'unknown database: no route has this name');
-		}
-
-		case 'unknown_key': {
-			return createRefusal('unknown_key', 'the API key is unknown or has been withdrawn');
-		}
-
-		case 'unsendable_name': {
-			return createRefusal('malformed', 'the name of the team or of the database group cannot be sent to databases');
-		}
-
-		case 'unverified':
-		case 'unverified_here': {
-			return createRefusal('busy', 'the contracts cannot be verified at the moment; retry later', UNVERIFIED_RETRY_AFTER_MS);
-		}
-	}
-}
 
 async function runStatementPlan(session: SessionContext, access: AllowedAccess, statement: Statement, arrivedAt: Instant): Promise<SessionReply> {
 	const {services, state} = session;
