--- a/packages/heatherpond-session/src/__tests__/support/test-services.ts
+++ b/packages/heatherpond-session/src/__tests__/support/test-services.ts
@@ -149,7 +149,10 @@
 	}
 
 	const pools = new Map(DATABASES.map(database => [database, createConnectionPool({
-		clock, open: async team => open(database, team), readMaxConnections: () => MAX_CONNECTIONS, isDraining: () => false, random: () => 0.5, writeEvent: () => undefined,
+		clock, open: async team => open(database, team), readMaxConnections: () => MAX_CONNECTIONS, isDraining: () => false, random: () => 0.5,
+		writeEvent(event) {
+			test.events.push(event);
+		},
 	})] as const));
 
 	const queues = new Map(DATABASES.map(database => [database, createStatementQueue({clock, random: () => 0.5, readLimit: () => test.statementLimit})] as const));
--- a/packages/heatherpond-session/src/__tests__/unit/connection-setup.test.ts
+++ b/packages/heatherpond-session/src/__tests__/unit/connection-setup.test.ts
@@ -90,6 +90,7 @@
 		await run(PREPARE);
 		expect(await run(EXECUTE)).toMatchObject({kind: 'answer', isError: false});
 		expect(readKinds(fixture)).toEqual(['prepare', 'execute', 'reset', 'prepare', 'execute']);
+		expect(fixture.events).toContain('prepared_statement_unknown');
 	});
 });
 
--- a/packages/heatherpond-session/src/pooled-handle.ts
+++ b/packages/heatherpond-session/src/pooled-handle.ts
@@ -4,7 +4,7 @@
  */
 import type {Clock, Deadline, Instant} from 'heatherpond-core';
 import {
-	applySetupResponses, collectSetupCommands, createConnectionCommand, recordSentCommands,
+	applySetupResponses, collectSetupCommands, createConnectionCommand, recordSentCommands, type PreparedStatement,
 } from './connection-setup.js';
 import type {ConnectionHandle, StepResult, ConnectionStep} from './connection-handle.js';
 import {createUpstreamError, UpstreamError} from './session-error.js';
@@ -95,10 +95,12 @@
 	}
 
 	/** Records that the database lacks a statement that was prepared on this connection. */
-	function recordUnknownStatement(command: UpstreamCommand, {outcome}: UpstreamResponse): void {
+	function recordUnknownStatement(command: UpstreamCommand, statement: PreparedStatement | undefined, {outcome}: UpstreamResponse): void {
 		if (command.kind === 'execute' && outcome.kind === 'error' && outcome.code === 'unknown_statement') {
 			connection.isSetupKnown = false;
-			writeEvent('prepared_statement_unknown', {database: upstream.database, request: command.id, name: command.name});
+			writeEvent('prepared_statement_unknown', {
+				database: upstream.database, request: command.id, name: command.name, access: statement?.access, shape: statement?.shape,
+			});
 		}
 	}
 
@@ -139,7 +141,7 @@
 			const sentAt = clock.readNow();
 			const command = createConnectionCommand(connection, step.command, step.needs?.statement);
 			const [answer] = await exchange([command], step.deadline);
-			recordUnknownStatement(command, answer!);
+			recordUnknownStatement(command, step.needs?.statement, answer!);
 			return {kind: 'answered', answer: answer!, timing: {ranMs: clock.readNow() - sentAt}} satisfies StepResult;
 		},
 		release() {
