--- a/packages/heatherpond-session/src/client-session.ts
+++ b/packages/heatherpond-session/src/client-session.ts
@@ -5,7 +5,7 @@
 import {createRefusal, type Refusal} from './refusal.js';
 import type {RunningStatement} from './running-statement.js';
 import {createRefusedError, RefusedError} from './session-error.js';
-import {isSentTooEarly, recordUnaskedEnd} from './sent-statements.js';
+import {isOrphaned, recordUnaskedEnd, removeKnownEnd} from './sent-statements.js';
 import type {SessionReply} from './session-reply.js';
 import type {SessionAccess, SessionServices} from './session-services.js';
 import {
@@ -69,7 +69,9 @@
 /** Runs a statement, unless it belongs to a transaction that has ended without its client. */
 async function runStatementInOrder(session: SessionContext, statement: Statement, arrivedAt: Instant): Promise<SessionReply> {
 	const {services, state} = session;
-	if (isSentTooEarly(state, statement, arrivedAt)) {
+	const isRefused = isOrphaned(state, statement, arrivedAt);
+	removeKnownEnd(state, statement, arrivedAt);
+	if (isRefused) {
 		return refuse(session, statement, createRefusal('aborted', 'the transaction of the statement was rolled back before the statement ran'), {endsSession: false});
 	}
 
--- a/packages/heatherpond-session/src/sent-statements.ts
+++ b/packages/heatherpond-session/src/sent-statements.ts
@@ -6,22 +6,21 @@
 import type {SessionState} from './session-state.js';
 import type {Statement} from './statement.js';
 
-/** Whether a statement begins or ends a transaction on the client's behalf. */
-function isBoundary({action}: Statement): boolean {
-	return action.kind === 'begin' || action.kind === 'commit' || action.kind === 'rollback';
+function isSentBeforeEnd({endedAt}: SessionState, arrivedAt: Instant): boolean {
+	return endedAt !== undefined && arrivedAt <= endedAt;
 }
 
-/**
- * Decides whether a statement belongs to a transaction that has ended without its client. The client ends that transaction too, or
- * begins the next one; what it sends later belongs to no transaction.
- */
-export function isSentTooEarly(state: SessionState, statement: Statement, arrivedAt: Instant): boolean {
-	const wasSentBefore = state.endedAt !== undefined && arrivedAt <= state.endedAt;
-	if (!wasSentBefore || isBoundary(statement)) {
+/** Whether a statement belongs to a transaction that has ended without its client; BEGIN starts the next one, and ROLLBACK has no effect. */
+export function isOrphaned(state: SessionState, {action}: Statement, arrivedAt: Instant): boolean {
+	return isSentBeforeEnd(state, arrivedAt) && action.kind !== 'begin' && action.kind !== 'rollback';
+}
+
+/** Removes the record of an unasked end once the client has ended that transaction too, has begun the next one, or knows of the end. */
+export function removeKnownEnd(state: SessionState, {action}: Statement, arrivedAt: Instant): void {
+	const isBoundary = action.kind === 'begin' || action.kind === 'commit' || action.kind === 'rollback';
+	if (isBoundary || !isSentBeforeEnd(state, arrivedAt)) {
 		state.endedAt = undefined;
 	}
-
-	return wasSentBefore && (!isBoundary(statement) || statement.action.kind === 'commit');
 }
 
 /** Records the end of a transaction that its client has not asked for, once the reply that tells it is known. */
