--- a/packages/heatherpond-ctl/src/run-command.ts
+++ b/packages/heatherpond-ctl/src/run-command.ts
@@ -74,7 +74,8 @@
 
 async function readToken(io: CtlIo, args: CommonArgs, settings: CtlSettings): Promise<string | undefined> {
 	const path = args.tokenFile ?? (io.env[TOKEN_VARIABLE] === undefined ? settings.tokenFile : undefined);
-	const token = path === undefined ? io.env[TOKEN_VARIABLE] : (await readText(io, path)).trim(); // eslint-disable-line unicorn/no-await-expression-member
+	const text = path === undefined ? undefined : await readText(io, path);
+	const token = text === undefined ? io.env[TOKEN_VARIABLE] : text.trim();
 	if (token !== undefined && !TOKEN_PATTERN.test(token)) {
 		throw new CtlError(`${path ?? TOKEN_VARIABLE} holds no token; allowed: 1 to 200 printable ASCII characters without spaces`, {props: {exitCode: EXIT.badInput}});
 	}
--- a/packages/heatherpond-fleet/src/fleet-followers.ts
+++ b/packages/heatherpond-fleet/src/fleet-followers.ts
@@ -4,7 +4,7 @@
 import {applyUpstreamUpdate, EMPTY_UPSTREAM_VIEW, removeExpiredUpstreams} from './apply-upstream-update.js';
 import {applyEvacuations, applyEvacuationUpdate, isSameEvacuations} from './evacuations.js';
 import type {FindDomainLeader} from './domain-leader.js';
-import type {FleetHostOptions} from './fleet-host.js';
+import type {FleetHostOptions} from './fleet-host-options.js';
 import {FLEET_TABLE} from './fleet-records.js';
 import {applySuspension, type FleetBlackboard, type FleetState} from './fleet-state.js';
 import type {StorePort} from './store-port.js';
--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -1,29 +1,21 @@
 /** Assembles the components of a host on top of its ports, and controls when it accepts clients and how it shuts down. */
-import {
-	createBlackboard, startLoop, type Clock, type Deadline,
-} from 'heatherpond-core';
-import {
-	createPositionTracker, type MessageMemory, type RequestBudget, type SessionServices, type UpstreamConnection, type WriteEvent,
-} from 'heatherpond-session';
+import {createBlackboard, startLoop, type Deadline} from 'heatherpond-core';
+import {createPositionTracker, type RequestBudget, type SessionServices} from 'heatherpond-session';
 import {decideAccess} from './access-decision.js';
 import {findColdLimit, formatColdSubject, isCold} from './cold-databases.js';
 import {createDomainStore} from './domain-leader.js';
 import {startEvacuationRecords} from './evacuation-records.js';
 import {startPromotionConfirmations} from './confirm-promotions.js';
-import type {Contracts} from './contracts.js';
-import type {DatabaseControlPort, PromotionRequestPort} from './database-control-port.js';
 import {checkSuspension, startFollowers, type HostContext} from './fleet-followers.js';
 import {FLEET_TABLE, type HostRecord} from './fleet-records.js';
-import type {FleetServices, HostIdentity} from './fleet-services.js';
+import type {FleetServices} from './fleet-services.js';
 import {
 	applySuspension, EMPTY_FLEET_STATE, type FleetBlackboard, type FleetState,
 } from './fleet-state.js';
 import {createHostFigures, type HostFigure} from './host-figures.js';
 import {createMessageHandlers} from './fleet-message-handlers.js';
 import {isRegistrationExpired, isReady, isHealthy} from './host-readiness.js';
-import type {HostLinkPort} from './host-links.js';
-import type {DatagramPort} from './datagram-parts.js';
-import {startHostDiscovery, type SeedAddress} from './host-discovery.js';
+import {startHostDiscovery} from './host-discovery.js';
 import type {HostContact} from './host-message.js';
 import {createHostMessages} from './host-messages.js';
 import {startHostRegistration, type HostRegistration} from './host-registration.js';
@@ -37,59 +29,13 @@
 import {createPositionRequests} from './position-requests.js';
 import {findNextPoll, PEER_POLL_INTERVAL_MS} from './poll-schedule.js';
 import {startRelayServer} from './relay-server.js';
-import type {RowChange, StorePort} from './store-port.js';
 import {isOutdated} from './store-restore.js';
-import type {SuspensionDetector} from './suspension-detector.js';
 import {createTableCache} from './table-cache.js';
 import {createTeamLimits} from './team-limits.js';
-import type {Upstream} from './upstream.js';
 import {createUpstreamDirectory, type UpstreamDirectory} from './upstream-directory.js';
 import {startUsageExchange, type UsageExchange} from './usage-exchange.js';
 import {waitForState} from './wait-for-state.js';
-
-/** Ports and settings of a host. */
-export type FleetHostOptions = {
-	readonly identity: HostIdentity;
-	readonly clock: Clock;
-	readonly suspension: SuspensionDetector;
-	/** Memory for the messages that are under way. */
-	readonly memory: MessageMemory;
-	/** Memory for the variables and prepared statements of client sessions. */
-	readonly sessionMemory: MessageMemory;
-	readonly store: StorePort;
-	readonly databases: DatabaseControlPort;
-	readonly promotionRequests: PromotionRequestPort;
-	readonly datagrams: DatagramPort;
-	readonly links: HostLinkPort;
-	/** Hosts that may know the failure domain of this one; they may be down. */
-	readonly seeds: readonly SeedAddress[];
-	readonly openConnection: (upstream: Upstream, team: string, deadline: Deadline) => Promise<UpstreamConnection>;
-	readonly writeEvent: WriteEvent;
-	/** Records the outcome of each statement. */
-	readonly recordStatement: SessionServices['recordStatement'];
-	readonly random: () => number;
-	/** All failure domains of the deployment. */
-	readonly domains: readonly string[];
-	/** Returns the region of a failure domain. */
-	readonly readRegion: (domain: string) => string;
-	/** Milliseconds within which a withdrawn key must stop working. */
-	readonly revocationMs: number;
-	/** Minimum duration of the promotion lease in milliseconds. */
-	readonly minPromotionLeaseMs: number;
-	/** Table of the operator's rows, key of the contracts, and their parsers. */
-	readonly contracts: {
-		readonly table: string;
-		readonly key: string;
-		readonly parse: (text: string) => Contracts | undefined;
-		/** Returns the failure domain that a row with this key evacuates; nothing for other rows. */
-		readonly parseEvacuatedDomain: (key: string) => string | undefined;
-	};
-	/** Milliseconds within which nothing more must be sent to the databases of an evacuated failure domain. */
-	readonly evacuationMs: number;
-	/** Table of the registered databases, and the parser of its rows. */
-	readonly registrations: {readonly table: string; readonly parse: (row: RowChange) => Upstream | undefined};
-	readonly signal: AbortSignal;
-};
+import type {FleetHostOptions} from './fleet-host-options.js';
 
 /** A running host. */
 export type FleetHost = {
--- a/packages/heatherpond-fleet/src/index.ts
+++ b/packages/heatherpond-fleet/src/index.ts
@@ -17,6 +17,7 @@
 export * from './promotion-lease.js';
 export * from './evacuation-records.js';
 export * from './evacuations.js';
+export type * from './fleet-host-options.js';
 export * from './fleet-host.js';
 export * from './fleet-records.js';
 export type * from './fleet-services.js';
--- a/packages/heatherpond-observe/src/metrics.ts
+++ b/packages/heatherpond-observe/src/metrics.ts
@@ -71,7 +71,7 @@
 
 /** Registers a gauge whose value is read whenever metrics are collected. */
 export function registerGauge(registry: Registry, name: string, help: string, read: () => number): void {
-	// eslint-disable-next-line no-new
+	// eslint-disable-next-line no-new -- the gauge registers itself
 	new Gauge({
 		name, help, registers: [registry], collect() {
 			this.set(read());
@@ -81,7 +81,7 @@
 
 function registerDurations(registry: Registry, series: ReadonlyMap<string, Series>): void {
 	const labelNames = ['stage', 'team', 'group'];
-	// eslint-disable-next-line no-new
+	// eslint-disable-next-line no-new -- the gauge registers itself
 	new Gauge({
 		name: 'heatherpond_stage_duration_milliseconds', help: 'Quantiles of the time that requests spent in a stage', labelNames: [...labelNames, 'quantile'], registers: [registry], collect() {
 			series.forEach(({stage, team, group, histogram}) => {
@@ -93,7 +93,7 @@
 			});
 		},
 	});
-	// eslint-disable-next-line no-new
+	// eslint-disable-next-line no-new -- the gauge registers itself
 	new Gauge({
 		name: 'heatherpond_stage_requests', help: 'Requests that went through a stage since the start', labelNames, registers: [registry], collect() {
 			series.forEach(({stage, team, group, histogram}) => {
--- a/packages/heatherpond-observe/src/statement-metrics.ts
+++ b/packages/heatherpond-observe/src/statement-metrics.ts
@@ -71,7 +71,7 @@
 }
 
 function registerDurations(registry: Registry, series: ReadonlyMap<string, Series>): void {
-	// eslint-disable-next-line no-new
+	// eslint-disable-next-line no-new -- the gauge registers itself
 	new Gauge({
 		name: 'heatherpond_statement_duration_milliseconds', help: 'Quantiles of the time from a statement to its answer', labelNames: [...LABEL_NAMES, 'quantile'], registers: [registry], collect() {
 			series.forEach(({labels, histogram}) => {
--- a/packages/heatherpond-postgres/src/__tests__/unit/upstream-faults.test.ts
+++ b/packages/heatherpond-postgres/src/__tests__/unit/upstream-faults.test.ts
@@ -14,6 +14,10 @@
 import {startTestGroup, waitFor, type TestGroup} from '../support/test-group.js';
 import {openWireClient} from '../support/wire-client.js';
 
+/** Time without a response after which a connection is checked, and how long a write takes that is only slow, in milliseconds. */
+const SILENCE_MS = 100;
+const SLOW_WRITE_MS = 15 * SILENCE_MS;
+
 let databases: readonly ScriptedDatabase[];
 let fixture: TestGroup;
 
@@ -175,7 +179,7 @@
 
 	test('does not end a slow write while other connections to the database respond', async () => {
 		await fixture.stop();
-		fixture = await startTestGroup({members: databases.map(database => database.member), limits: {silenceMs: 100, requestTimeoutMs: 600_000}});
+		fixture = await startTestGroup({members: databases.map(database => database.member), limits: {silenceMs: SILENCE_MS, requestTimeoutMs: 600_000}});
 		const primary = databases[0]!;
 		const clients = await Promise.all([fixture.openClient(), fixture.openClient()]);
 		await Promise.all(clients.map(async client => client.query('INSERT INTO t VALUES (1)')));
@@ -190,7 +194,7 @@
 		});
 		const writing = clients[0].query('INSERT INTO t VALUES (2)');
 		await new Promise<void>(resolve => {
-			setTimeout(resolve, 1500);
+			setTimeout(resolve, SLOW_WRITE_MS);
 		});
 		sendRow(slow!, '1:200');
 		await expect(writing).resolves.toBeDefined();
