End a transaction whose key has been given to another team

Cause: every statement was authorized anew, but in an open transaction the result was only asked whether the client may go on. The connection, and with it the team that the database is told, stayed that of the first statement. A withdrawn key is refused, one that has changed hands is allowed.

Change: the team of an open transaction is compared with the one that has the key now; if they differ, the transaction is rolled back and the statement refused as aborted. A statement that waited is checked once more right before it is sent.

The PostgreSQL engine ends such a session already (wrong_team); a test shows it now.

--- a/packages/heatherpond-postgres/src/__tests__/unit/write-outcomes.test.ts
+++ b/packages/heatherpond-postgres/src/__tests__/unit/write-outcomes.test.ts
@@ -130,14 +130,17 @@
 });
 
 describe('sessions when the fleet view or admission changes', () => {
-	test('a withdrawn key ends an open transaction at once and closes its upstream connection', async () => {
+	// With the second case: guards against a transaction that runs on as a team that no longer has the key.
+	test.each([
+		['withdrawn', {isWithdrawn: true}], ['given to another team', {team: 'other'}],
+	] as const)('a key that is %s ends an open transaction at once and closes its upstream connection', async (_, change) => {
 		const fixture = await startFixture();
 		const client = await fixture.openClient();
 		await client.query('BEGIN');
 		await client.query('INSERT INTO t (id, value) VALUES (\'x\', \'v\')');
 		const openBefore = fixture.pools.countOpen();
 		fixture.blackboard.update(state => ({
-			...state, view: {...state.view, keys: Object.fromEntries(Object.entries(state.view.keys).map(([hash, key]) => [hash, {...key, isWithdrawn: true}]))},
+			...state, view: {...state.view, keys: Object.fromEntries(Object.entries(state.view.keys).map(([hash, key]) => [hash, {...key, ...change}]))},
 		}));
 		await waitFor(() => fixture.pools.countOpen() === openBefore - 1, 'the upstream connection to close');
 		expect(fixture.countRows('t')).toBe(0);
--- a/packages/heatherpond-session/src/__tests__/support/test-services.ts
+++ b/packages/heatherpond-session/src/__tests__/support/test-services.ts
@@ -33,6 +33,8 @@
 	isReplaced: boolean;
 	/** Result of the authorization. */
 	access: 'allow' | 'unknown_key' | 'unverified';
+	/** Team to which the keys of all clients belong. */
+	team: string;
 	/** Retry-after time of the admission control; 0 admits. */
 	admissionDelayMs: number;
 	/** Position that the primary tells when it is asked; undefined when it does not answer. */
@@ -166,6 +168,7 @@
 		isProven: true,
 		isReplaced: false,
 		access: 'allow',
+		team: 'team',
 		admissionDelayMs: 0,
 		toldPosition: undefined,
 		positionRequests: 0,
@@ -179,7 +182,7 @@
 			clock,
 			positions,
 			access: {
-				decideAccess: () => test.access === 'allow' ? {kind: 'allow', route, team: 'team'} : {kind: 'refuse', reason: test.access},
+				decideAccess: () => test.access === 'allow' ? {kind: 'allow', route, team: test.team} : {kind: 'refuse', reason: test.access},
 			},
 			primacy: {
 				findPrimary: () => test.primary,
--- a/packages/heatherpond-session/src/client-session.ts
+++ b/packages/heatherpond-session/src/client-session.ts
@@ -2,6 +2,7 @@
 import type {Instant} from 'heatherpond-core';
 import {createAccessRefusal} from './access-refusal.js';
 import {computeSpreadRetry} from './attempt-rules.js';
+import {createKeyCheck, endTransactionOfOtherTeam} from './key-ownership.js';
 import {createRefusal, type Refusal} from './refusal.js';
 import type {RunningStatement} from './running-statement.js';
 import {createRefusedError, RefusedError} from './session-error.js';
@@ -90,6 +91,11 @@
 		return refuse(session, statement, createAccessRefusal(access.reason), {endsSession: access.reason !== 'unverified'});
 	}
 
+	const refusal = endTransactionOfOtherTeam(session, access.team, statement);
+	if (refusal) {
+		return refuse(session, statement, refusal, {endsSession: false, access});
+	}
+
 	try {
 		return await runStatementPlan(session, access, statement, arrivedAt);
 	} catch (error) {
@@ -186,12 +192,12 @@
 
 /** Runs a statement that has no connection yet: one outside a transaction, or the first one of a transaction. */
 async function runOutsideTransaction(session: SessionContext, running: RunningStatement): Promise<SessionReply> {
-	const {state, services, abortController} = session;
+	const {state, services, abortController, caller} = session;
 	const {phase} = state;
 	const {signal} = phase.kind === 'begun' ? phase.lifetime : abortController;
 	const isReadOnly = phase.kind === 'begun' && phase.isReadOnly;
 	const context: AttemptContext = {
-		services, state, running, signal,
+		services, state, running, signal, hasKey: createKeyCheck(services, caller, running.team),
 		needsPrimary: running.route.consistency === 'primary' || (phase.kind === 'begun' ? !isReadOnly : running.access === 'write'),
 	};
 	if (phase.kind !== 'begun') {
--- a/packages/heatherpond-session/src/statement-attempts.ts
+++ b/packages/heatherpond-session/src/statement-attempts.ts
@@ -6,6 +6,7 @@
 	BUSY_RETRY_AFTER_MS, checkRetryAllowed, checkSendable, computeSpreadRetry, computeAttemptTimeout, isRetryableRead, MAX_RETRY_DELAY_MS, waitBeforeRetry,
 } from './attempt-rules.js';
 import type {ConnectionHandle} from './connection-handle.js';
+import {checkKeyOwnership} from './key-ownership.js';
 import {createRefusal} from './refusal.js';
 import {createStatementCommand, type RunningStatement} from './running-statement.js';
 import {createRefusedError, UpstreamError} from './session-error.js';
@@ -26,6 +27,8 @@
 	/** Whether only the primary may run the statement. */
 	readonly needsPrimary: boolean;
 	readonly signal: AbortSignal;
+	/** Whether the team of the statement still has the client's key. */
+	readonly hasKey: () => boolean;
 };
 
 /** A response, with the database and the connection that it came from. */
@@ -156,6 +159,7 @@
 async function runOnLoan(context: AttemptContext, {loan, target}: Pick<AnsweredStatement, 'loan' | 'target'>, run: RunAttempt): Promise<UpstreamResponse | undefined> {
 	let isAnswered = false;
 	try {
+		checkKeyOwnership(context);
 		const result = await run(loan, target);
 		if (result.kind === 'answered' && !isRetryableRead(context, result.answer)) {
 			isAnswered = true;
