Answer every statement before a stopping host closes its connections

Cause: a shutdown ended connections, not statements, and nothing that waits knew of the end of the host. With timeouts shorter than the grace period the queues were empty by then; a configuration may set any timeout.

A relay hands back what waits at it.

--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -49,8 +49,11 @@
 	readonly waitForContracts: (deadline: Deadline) => Promise<void>;
 	/** Waits until a host that has just started is registered and can use primaries, at most until the deadline; returns at once when the start is over. */
 	readonly waitForStart: (deadline: Deadline) => Promise<void>;
-	/** Starts the shutdown: the host accepts no new clients and no longer refreshes its registration. */
-	readonly startShutdown: () => void;
+	/**
+	 * Starts the shutdown: the host accepts no new clients, no longer refreshes its registration, and refuses the statements that
+	 * it cannot run before `workEndsAt`.
+	 */
+	readonly startShutdown: (workEndsAt: Deadline) => void;
 	/** Closes all connections, announces the departure to the other hosts and removes the registration. */
 	readonly leave: () => Promise<void>;
 };
@@ -136,7 +139,7 @@
 			connections: usage.exchange?.countRemoteConnections(database) ?? 0,
 		}),
 	});
-	startRelayServer({
+	const relayServer = startRelayServer({
 		clock, writeEvent, links: options.links, memory: options.memory, random, acquire: upstreams.acquireOwn, recordFailure: upstreams.recordFailure,
 		isReplaced: primary => isReplaced(readState(), primary),
 		isStopping: () => blackboard.read().isStopping,
@@ -223,8 +226,10 @@
 				await waitForState({blackboard, clock}, state => state.arePeersKnown && !isRegistrationExpired(state, clock.readNow()), Math.min(deadline, startedAt + START_MS), signal);
 			}
 		},
-		startShutdown() {
-			blackboard.update(state => ({...state, isStopping: true}));
+		startShutdown(workEndsAt) {
+			blackboard.update(state => ({...state, isStopping: true, workEndsAt}));
+			relayServer.startShutdown();
+			upstreams.refuseUnservable();
 		},
 		async leave() {
 			blackboard.update(state => applySuspension(state, clock.readNow()));
--- a/packages/heatherpond-fleet/src/fleet-state.ts
+++ b/packages/heatherpond-fleet/src/fleet-state.ts
@@ -1,5 +1,7 @@
 /** The blackboard of a host: what it knows about the fleet, and when that was last verified. */
-import type {Blackboard, Instant, Teardown} from 'heatherpond-core';
+import type {
+	Blackboard, Deadline, Instant, Teardown,
+} from 'heatherpond-core';
 import type {Contracts} from './contracts.js';
 import type {Evacuations} from './evacuations.js';
 import type {
@@ -70,6 +72,8 @@
 	/** Clock of the store minus that of this host in milliseconds, as last measured. */
 	readonly storeClockOffset: number;
 	readonly isStopping: boolean;
+	/** When this host starts no more statements, because it stops; infinite as long as it does not. */
+	readonly workEndsAt: Deadline;
 };
 
 /** Blackboard that holds the fleet state of a host. */
@@ -101,6 +105,7 @@
 	clockValidFrom: Number.NEGATIVE_INFINITY,
 	storeClockOffset: 0,
 	isStopping: false,
+	workEndsAt: Number.POSITIVE_INFINITY,
 };
 
 /** Invalidates all verifications and the registration, after a suspension that the monotonic clock did not measure. */
--- a/packages/heatherpond-fleet/src/relay-server.ts
+++ b/packages/heatherpond-fleet/src/relay-server.ts
@@ -1,7 +1,7 @@
 /** Server of a relay: runs statements of other hosts on the connections of this host. */
 import type {Clock, Deadline, Instant} from 'heatherpond-core';
 import {
-	CONNECTION_PART_BYTES, createConnectionMemory, createOverloadError, createUpstreamError, UpstreamError, type ConnectionHandle, type MessageMemory, type Primary, type StepResult, type UpstreamsPort, type WriteEvent,
+	CONNECTION_PART_BYTES, createConnectionMemory, createOverloadError, createUpstreamError, UpstreamError, type ConnectionHandle, type MessageMemory, type Primary, type StepResult, type UpstreamFailure, type UpstreamsPort, type WriteEvent,
 } from 'heatherpond-session';
 import {MAX_LINK_TEXT_LENGTH, type HostLink, type HostLinkPort} from './host-links.js';
 import {
@@ -65,14 +65,35 @@
 	return result.kind === 'answered' && result.timing ? {...result, timing: {ranMs: Math.round(result.timing.ranMs), heldMs: Math.round(heldMs)}} : result;
 }
 
+/** A running relay server. */
+export type RelayServer = {
+	/** Hands back the work that waits for a connection, so that the hosts that sent it find another way at once. */
+	readonly startShutdown: () => void;
+};
+
 /** Starts to serve links that other hosts open. */
-export function startRelayServer(options: RelayServerOptions): void {
+export function startRelayServer(options: RelayServerOptions): RelayServer {
+	const servedLinks = new Set<ServedLink>();
 	options.links.registerServer(link => {
-		startServingLink(options, link);
+		const served = startServingLink(options, link);
+		servedLinks.add(served);
+		link.registerCloseListener(() => {
+			servedLinks.delete(served);
+		});
 	});
+	return {
+		startShutdown() {
+			servedLinks.forEach(({cancelWaiting}) => {
+				cancelWaiting();
+			});
+		},
+	};
 }
 
-function startServingLink(options: RelayServerOptions, link: HostLink): void {
+/** A link that is being served; `cancelWaiting` ends the waits for connections. */
+type ServedLink = {readonly cancelWaiting: () => void};
+
+function startServingLink(options: RelayServerOptions, link: HostLink): ServedLink {
 	const {clock, writeEvent} = options;
 	const servedConnections = new Map<number, ServedConnection>();
 
@@ -125,7 +146,7 @@
 		});
 		if (lifetime.signal.aborted) {
 			connection.release();
-			throw createUpstreamError('request was cancelled while the relay acquired a connection', 'closed', false);
+			throw createUpstreamError('request was cancelled while the relay acquired a connection', 'cancelled', false);
 		}
 
 		servedConnections.set(loan, {loan: connection, lifetime});
@@ -185,10 +206,19 @@
 		}
 
 		sendTimed({
-			kind: 'failure', loan, failure: error.failure, wasSent: error.wasSent, reason: error.message, retryAfterMs: error.retryAfterMs,
+			kind: 'failure', loan, failure: convertFailure(error.failure), wasSent: error.wasSent, reason: error.message, retryAfterMs: error.retryAfterMs,
 		});
 	}
 
+	/** A wait that ends because this host stops is no reason to try again here. */
+	function convertFailure(failure: UpstreamFailure): Exclude<UpstreamFailure, 'cancelled'> {
+		if (failure !== 'cancelled') {
+			return failure;
+		}
+
+		return options.isStopping() ? 'relay' : 'closed';
+	}
+
 	function handleMessage(message: RelayMessage | undefined): void {
 		switch (message?.kind) {
 			case 'first-step':
@@ -222,4 +252,11 @@
 			stopServing(loan);
 		});
 	});
+	return {
+		cancelWaiting() {
+			[...servedConnections.values()].filter(({loan}) => loan === undefined).forEach(({lifetime}) => {
+				lifetime.abort();
+			});
+		},
+	};
 }
--- a/packages/heatherpond-fleet/src/upstream-directory.ts
+++ b/packages/heatherpond-fleet/src/upstream-directory.ts
@@ -46,6 +46,8 @@
 	readonly readUsage: () => Record<string, [number, number]>;
 	/** Closes connections past their idle timeout and pools of databases that are no longer registered, and selects relays anew when the hosts have changed. */
 	readonly refresh: () => void;
+	/** Refuses the waiting statements that cannot have been run before this host stops. */
+	readonly refuseUnservable: () => void;
 	readonly destroy: () => void;
 };
 
@@ -67,7 +69,7 @@
 const SILENCE_LOST_MS = 350;
 const FAILURE_LOST_MS = 50;
 /** Reasons of failures that say nothing of the database. */
-const HARMLESS_REASONS: ReadonlySet<string> = new Set(['too_many', 'relay', 'evacuated', 'overloaded', 'expired', 'unsendable', 'no_memory']);
+const HARMLESS_REASONS: ReadonlySet<string> = new Set(['too_many', 'relay', 'evacuated', 'overloaded', 'expired', 'unsendable', 'no_memory', 'cancelled']);
 /** Share of failures from which a database is reported in the log. */
 const LOGGED_FAILURE_SHARE = 0.3;
 /** Creates an empty directory. */
@@ -98,7 +100,9 @@
 				random: options.random,
 				writeEvent: options.writeEvent,
 			}),
-			queue: createStatementQueue({clock, random: options.random, readLimit: () => shares.readStatementLimit(findUpstream(upstream.id) ?? upstream)}),
+			queue: createStatementQueue({
+				clock, random: options.random, readLimit: () => shares.readStatementLimit(findUpstream(upstream.id) ?? upstream), readWorkEnd: () => blackboard.read().workEndsAt,
+			}),
 			outcomes: createFailureRecord(clock.readNow()), inFlight: 0, avoidedUntil: 0, failures: 0,
 		};
 		entries.set(upstream.id, created);
@@ -253,6 +257,11 @@
 				}
 			});
 		},
+		refuseUnservable() {
+			[...entries.values()].forEach(({queue}) => {
+				queue.refuseUnservable();
+			});
+		},
 		destroy() {
 			[...entries.values()].forEach(({pool}) => {
 				pool.destroy('host is shutting down');
--- a/packages/heatherpond-session/src/__tests__/support/test-services.ts
+++ b/packages/heatherpond-session/src/__tests__/support/test-services.ts
@@ -1,7 +1,7 @@
 /** Session services backed by fake databases whose responses are scripted. */
 import {createFakeClock, type FakeClock} from 'heatherpond-core';
 import {
-	acquireQueuedHandle, createConnectionPool, createMessageMemory, createPositionTracker, createStatementQueue, createUpstreamError, type ConnectionPool, type PositionTracker, type Primary, type SessionRoute, type SessionServices,
+	acquireQueuedHandle, createConnectionPool, createMessageMemory, createPositionTracker, createStatementQueue, createUpstreamError, type ConnectionPool, type PositionTracker, type Primary, type SessionRoute, type StatementQueue, type SessionServices,
 	type Statement, type StatementAction, type StatementObservation, type UpstreamResponse, type UpstreamCommand, type UpstreamConnection, type UpstreamErrorCode,
 } from '../../index.js';
 
@@ -46,8 +46,11 @@
 	/** By cold database: retry-after time of its budget; 0 admits. */
 	readonly budgets: Map<string, number>;
 	readonly pools: ReadonlyMap<string, ConnectionPool>;
+	readonly queues: ReadonlyMap<string, StatementQueue>;
 	/** Number of statements that may run on a database at once. */
 	statementLimit: number;
+	/** When the host starts no more statements. */
+	workEndsAt: number;
 	/** Events written to the log, in order. */
 	readonly events: string[];
 	/** Counts writes and transactions registered as in flight on the primary. */
@@ -100,6 +103,10 @@
 			});
 		}
 
+		function registerCloseListener(listener: () => void): void {
+			listeners.push(listener);
+		}
+
 		function answer(command: UpstreamCommand, end: Exclude<ScriptedResponse, {kind: 'lost' | 'silent'}>): UpstreamResponse {
 			if (end.kind === 'error') {
 				state = end.state ?? state;
@@ -131,7 +138,12 @@
 					const end = test.script(noted) ?? {kind: 'complete'};
 					await new Promise<void>(resolve => {
 						clock.registerTimer(end.kind === 'silent' ? deadline : Math.min(deadline, clock.readNow() + RESPONSE_DELAY_MS), resolve);
+						registerCloseListener(resolve);
 					});
+					if (!isOpen) {
+						throw createUpstreamError('the connection was closed', 'closed', true);
+					}
+
 					if (end.kind === 'lost' || end.kind === 'silent') {
 						close();
 						throw createUpstreamError('gone', end.kind === 'lost' ? 'closed' : 'silent', true);
@@ -144,9 +156,7 @@
 			},
 			isOpen: () => isOpen,
 			destroy: close,
-			registerCloseListener(listener) {
-				listeners.push(listener);
-			},
+			registerCloseListener,
 		};
 	}
 
@@ -157,7 +167,9 @@
 		},
 	})] as const));
 
-	const queues = new Map(DATABASES.map(database => [database, createStatementQueue({clock, random: () => 0.5, readLimit: () => test.statementLimit})] as const));
+	const queues = new Map(DATABASES.map(database => [database, createStatementQueue({
+		clock, random: () => 0.5, readLimit: () => test.statementLimit, readWorkEnd: () => test.workEndsAt,
+	})] as const));
 
 	const test: TestServices = {
 		clock,
@@ -175,7 +187,9 @@
 		forbidden: new Set(),
 		budgets: new Map(),
 		pools,
+		queues,
 		statementLimit: Number.POSITIVE_INFINITY,
+		workEndsAt: Number.POSITIVE_INFINITY,
 		events: [],
 		countWorkOnPrimary: () => primaryWork,
 		services: {
--- a/packages/heatherpond-session/src/attempt-rules.ts
+++ b/packages/heatherpond-session/src/attempt-rules.ts
@@ -39,7 +39,8 @@
  */
 export function checkRetryAllowed({services, running, signal}: AttemptContext): void {
 	if (signal.aborted || running.attempts >= MAX_ATTEMPTS || services.clock.readNow() >= running.deadline) {
-		throw createRefusedError(createNotRunRefusal(running, computeSpreadRetry(BUSY_RETRY_AFTER_MS, services.random)));
+		const retryAfterMs = computeSpreadRetry(BUSY_RETRY_AFTER_MS, services.random);
+		throw createRefusedError(signal.aborted ? createRefusal('busy', 'the session or its host ends', retryAfterMs) : createNotRunRefusal(running, retryAfterMs));
 	}
 }
 
--- a/packages/heatherpond-session/src/client-session.ts
+++ b/packages/heatherpond-session/src/client-session.ts
@@ -1,7 +1,7 @@
 /** Session of one client connection: runs its statements in order and produces one reply for each. */
 import type {Instant} from 'heatherpond-core';
 import {createAccessRefusal} from './access-refusal.js';
-import {computeSpreadRetry} from './attempt-rules.js';
+import {BUSY_RETRY_AFTER_MS, computeSpreadRetry} from './attempt-rules.js';
 import {createKeyCheck, endTransactionOfOtherTeam} from './key-ownership.js';
 import {createRefusal, type Refusal} from './refusal.js';
 import type {RunningStatement} from './running-statement.js';
@@ -33,8 +33,15 @@
 	readonly run: (statement: Statement, arrivedAt: Instant) => Promise<SessionReply>;
 	/** Whether no transaction is open, pending or failed. */
 	readonly isIdle: () => boolean;
-	/** Rolls back the open transaction, if any. The client learns of it from the reply to its next statement. */
+	/**
+	 * Rolls back the open transaction, if any, unless its COMMIT is under way. The client learns of it from the reply to its next
+	 * statement.
+	 */
 	readonly abort: (reason: string) => void;
+	/** Refuses the statement in progress unless it has been sent to a database, and all later ones. */
+	readonly stopWork: () => void;
+	/** Ends the statement in progress even if it has been sent, so that its reply follows at once; calls `stopWork` first. */
+	readonly endStatement: () => void;
 	/** Ends the session, cancels its waits and rolls back an open transaction. */
 	readonly stop: () => void;
 };
@@ -56,7 +63,16 @@
 		},
 		isIdle: () => session.state.phase.kind === 'idle',
 		abort(reason) {
-			failTransaction(session, reason);
+			if (!session.state.isCommitting) {
+				failTransaction(session, reason);
+			}
+		},
+		stopWork() {
+			session.abortController.abort();
+		},
+		endStatement() {
+			session.abortController.abort();
+			session.state.loanInUse?.release();
 		},
 		stop() {
 			session.stopIdleTimer?.();
@@ -140,6 +156,7 @@
 
 		case 'commit':
 		case 'data': {
+			checkAcceptsWork(session);
 			if (isOperationStart) {
 				const {phase} = state;
 				await checkAdmission(services, access.team, state);
@@ -183,6 +200,18 @@
 	}
 }
 
+/**
+ * Checks that the session may still use databases; only a transaction that is open goes on.
+ *
+ * @throws RefusedError when the host stops
+ */
+function checkAcceptsWork({state, services, abortController}: SessionContext): void {
+	if (abortController.signal.aborted && state.phase.kind !== 'open') {
+		state.phase = {kind: 'idle'};
+		throw createRefusedError(createRefusal('busy', 'the host is shutting down', computeSpreadRetry(BUSY_RETRY_AFTER_MS, services.random)));
+	}
+}
+
 /** Refuses a statement whose session or transaction was ended while the statement was waiting for admission or a connection. */
 function checkPhaseUnchanged({state, abortController}: SessionContext, phase: SessionPhase): void {
 	if (abortController.signal.aborted || state.phase !== phase) {
--- a/packages/heatherpond-session/src/connection-pool.ts
+++ b/packages/heatherpond-session/src/connection-pool.ts
@@ -224,7 +224,7 @@
 				waiter.reject(createUpstreamError('timed out waiting for a free connection', 'too_many', false));
 			});
 			function handleAbort(): void {
-				waiter.reject(createUpstreamError('the wait for a connection was cancelled', 'closed', false));
+				waiter.reject(createUpstreamError('the wait for a connection was cancelled', 'cancelled', false));
 			}
 
 			if (request.signal.aborted) {
--- a/packages/heatherpond-session/src/queue-decisions.ts
+++ b/packages/heatherpond-session/src/queue-decisions.ts
@@ -31,6 +31,8 @@
 	readonly lastTag: number;
 	/** Starts of the last second: when, and in which priority class. */
 	readonly recentStarts: readonly StartedStatement[];
+	/** When this host starts no more statements, because it stops; infinite as long as it does not. */
+	readonly workEndsAt: Deadline;
 };
 
 /** A statement that was started. */
@@ -100,9 +102,24 @@
 	return waiting.reduce<Statement | undefined>((last, next) => last && compareQueued(last, next, now, load) > 0 ? last : next, undefined);
 }
 
+/** Reads until when a statement must have been run: its caller gives up, or this host has stopped. */
+export function readRunDeadline({deadline}: QueuedStatement, {workEndsAt}: DatabaseLoad): Deadline {
+	return Math.min(deadline, workEndsAt);
+}
+
 /** Finds the waiting statements whose callers will have given up before they could have been run. */
-export function findHopeless<Statement extends QueuedStatement>(waiting: readonly Statement[], now: Instant, {statementMs}: DatabaseLoad): readonly Statement[] {
-	return waiting.filter(({deadline, isContinuation}) => !isContinuation && now + statementMs > deadline);
+export function findHopeless<Statement extends QueuedStatement>(waiting: readonly Statement[], now: Instant, load: DatabaseLoad): readonly Statement[] {
+	return waiting.filter(statement => !statement.isContinuation && now + load.statementMs > readRunDeadline(statement, load));
+}
+
+/**
+ * Finds the waiting statements that the database can't have run in time, by their place in the order. The load in mind is a host
+ * that stops while more statements wait than it can still run.
+ */
+export function findUnservable<Statement extends QueuedStatement>(waiting: readonly Statement[], now: Instant, load: DatabaseLoad): readonly Statement[] {
+	return waiting
+		.toSorted((left, right) => compareQueued(left, right, now, load))
+		.filter((statement, index) => !statement.isContinuation && now + ((Math.floor(index / load.limit) + 1) * load.statementMs) > readRunDeadline(statement, load));
 }
 
 /** Computes when there is room again, in milliseconds from now, spread so that callers refused together do not return together. */
--- a/packages/heatherpond-session/src/session-error.ts
+++ b/packages/heatherpond-session/src/session-error.ts
@@ -32,6 +32,8 @@
 		| 'no_memory'
 	/** A name or value cannot be sent unchanged in the protocol of the database; nothing was sent. */
 		| 'unsendable'
+	/** Whoever waited for the database has left, or the host stops; nothing was sent. */
+		| 'cancelled'
 	/** The failure domain of the database is evacuated, so nothing is sent to it any more. */
 		| 'evacuated'
 	/** The host that relays the connection cannot be reached; the database itself may be healthy. */
--- a/packages/heatherpond-session/src/session-state.ts
+++ b/packages/heatherpond-session/src/session-state.ts
@@ -38,6 +38,10 @@
 	readonly room: ConnectionMemory;
 	/** Length of the variables and statements, with their names. */
 	heldLength: number;
+	/** Connection that the statement in progress uses, so that it can be ended from outside. */
+	loanInUse?: ConnectionHandle;
+	/** Whether the COMMIT of the open transaction is under way. */
+	isCommitting: boolean;
 	/** When a transaction ended without its client; absent once the client has been seen to know. */
 	endedAt?: Instant;
 	/** Log position of the session's newest commit. */
@@ -46,7 +50,7 @@
 
 export function createSessionState(memory: MessageMemory): SessionState {
 	return {
-		phase: {kind: 'idle'}, variables: new Map(), statements: new Map(), room: createConnectionMemory(memory), heldLength: 0,
+		phase: {kind: 'idle'}, variables: new Map(), statements: new Map(), room: createConnectionMemory(memory), heldLength: 0, isCommitting: false,
 	};
 }
 
--- a/packages/heatherpond-session/src/statement-attempts.ts
+++ b/packages/heatherpond-session/src/statement-attempts.ts
@@ -160,6 +160,7 @@
 	let isAnswered = false;
 	try {
 		checkKeyOwnership(context);
+		context.state.loanInUse = loan;
 		const result = await run(loan, target);
 		if (result.kind === 'answered' && !isRetryableRead(context, result.answer)) {
 			isAnswered = true;
@@ -169,6 +170,7 @@
 		handleFailedAttempt(context, target, result);
 		return undefined;
 	} finally {
+		context.state.loanInUse = undefined;
 		if (!isAnswered) {
 			loan.release();
 		}
--- a/packages/heatherpond-session/src/statement-queue.ts
+++ b/packages/heatherpond-session/src/statement-queue.ts
@@ -1,7 +1,7 @@
 /** Queue of one host in front of one database: bounds the statements that run there at once, and lets the others wait in order. */
-import type {Clock} from 'heatherpond-core';
+import type {Clock, Deadline} from 'heatherpond-core';
 import {
-	computeRetryAfter, computeCompletion, findHopeless, findLastQueued, PACE_WINDOW_MS, readShareTag, selectNextQueued, type DatabaseLoad, type QueuedStatement, type StartedStatement,
+	computeRetryAfter, computeCompletion, findHopeless, findLastQueued, findUnservable, PACE_WINDOW_MS, readRunDeadline, readShareTag, selectNextQueued, type DatabaseLoad, type QueuedStatement, type StartedStatement,
 } from './queue-decisions.js';
 import {createOverloadError, createUpstreamError} from './session-error.js';
 
@@ -10,11 +10,13 @@
 	/**
 	 * Waits until the statement may be sent; resolves to the function that ends it.
 	 *
-	 * @throws UpstreamError with `overloaded` when it cannot be run before its deadline, and with `closed` when it is cancelled
+	 * @throws UpstreamError with `overloaded` when it cannot be run before its deadline, and with `cancelled` when its wait is cancelled
 	 */
 	readonly acquire: (statement: QueuedStatement, signal: AbortSignal) => Promise<EndStatement>;
 	readonly countRunning: () => number;
 	readonly countWaiting: () => number;
+	/** Refuses the waiting statements that cannot have been run in time; called when the host begins to stop. */
+	readonly refuseUnservable: () => void;
 	/** Reads the expected time of one statement, in milliseconds. */
 	readonly readStatementMs: () => number;
 };
@@ -28,6 +30,8 @@
 	readonly random: () => number;
 	/** Reads how many statements this host may have running on the database at present. */
 	readonly readLimit: () => number;
+	/** Reads when this host starts no more statements; infinite as long as it does not stop. */
+	readonly readWorkEnd: () => Deadline;
 };
 
 type Waiter = QueuedStatement & {readonly start: () => void; readonly refuse: (error: Error) => void};
@@ -41,11 +45,11 @@
 const MAX_RECENT_STARTS = 200;
 
 function createCancellationError(): Error {
-	return createUpstreamError('the wait for the database was cancelled', 'closed', false);
+	return createUpstreamError('the wait for the database was cancelled', 'cancelled', false);
 }
 
 /** Creates an empty queue. */
-export function createStatementQueue({clock, random, readLimit}: StatementQueueOptions): StatementQueue {
+export function createStatementQueue({clock, random, readLimit, readWorkEnd}: StatementQueueOptions): StatementQueue {
 	let waiting: readonly Waiter[] = [];
 	let running = 0;
 	let statementMs = INITIAL_STATEMENT_MS;
@@ -56,7 +60,7 @@
 
 	function readLoad(): DatabaseLoad {
 		return {
-			statementMs, limit: Math.max(1, readLimit()), shareTags, lastTag, recentStarts: recentStarts.filter(({at}) => at > clock.readNow() - PACE_WINDOW_MS),
+			statementMs, limit: Math.max(1, readLimit()), shareTags, lastTag, workEndsAt: readWorkEnd(), recentStarts: recentStarts.filter(({at}) => at > clock.readNow() - PACE_WINDOW_MS),
 		};
 	}
 
@@ -96,12 +100,16 @@
 		});
 	}
 
+	function refuseAll(statements: readonly Waiter[], load: DatabaseLoad): void {
+		statements.forEach(({refuse}) => {
+			refuse(createOverloadError(computeRetryAfter(waiting, load, random)));
+		});
+	}
+
 	function startWaiting(): void {
 		const now = clock.readNow();
 		const load = readLoad();
-		findHopeless(waiting, now, load).forEach(({refuse}) => {
-			refuse(createOverloadError(computeRetryAfter(waiting, load, random)));
-		});
+		refuseAll(findHopeless(waiting, now, load), load);
 		while (running < load.limit) {
 			const next = selectNextQueued(waiting, now, readLoad(), startCount);
 			if (!next) {
@@ -113,7 +121,7 @@
 	}
 
 	function hasRoom(statement: QueuedStatement): boolean {
-		return statement.isContinuation || waiting.length < MIN_REFUSAL_DEPTH || computeCompletion(statement, waiting, clock.readNow(), readLoad()) <= statement.deadline;
+		return statement.isContinuation || waiting.length < MIN_REFUSAL_DEPTH || computeCompletion(statement, waiting, clock.readNow(), readLoad()) <= readRunDeadline(statement, readLoad());
 	}
 
 	/** Refuses a new statement that cannot be run in time, or the one that no longer can be because of it. */
@@ -179,6 +187,10 @@
 		},
 		countRunning: () => running,
 		countWaiting: () => waiting.length,
+		refuseUnservable() {
+			const load = readLoad();
+			refuseAll(findUnservable(waiting, clock.readNow(), load), load);
+		},
 		readStatementMs: () => statementMs,
 	};
 }
--- a/packages/heatherpond-session/src/transaction-run.ts
+++ b/packages/heatherpond-session/src/transaction-run.ts
@@ -42,8 +42,13 @@
 		services, loan: transaction.loan, primary: transaction.primary, deadline: running.deadline,
 	};
 	const needs = running.prepared && {variables: session.state.variables, statement: running.prepared};
-	const result = await exchangeInTransaction({services, running, signal}, input, {needs});
 	const isCommit = running.statement.action.kind === 'commit';
+	session.state.isCommitting = isCommit;
+	session.state.loanInUse = transaction.loan;
+	const result = await exchangeInTransaction({services, running, signal}, input, {needs}).finally(() => {
+		session.state.isCommitting = false;
+		session.state.loanInUse = undefined;
+	});
 	if (signal.aborted && !isCommit) {
 		throw createRefusedError(createRefusal('aborted', 'the transaction was rolled back while the statement ran'));
 	}
