PostgreSQL engine: answer the requests in progress when the time for a shutdown is over

What callers saw: connections closed without an answer at the end of drainTimeoutMs, for requests that waited for a connection, and for open transactions without a reason.

Change: shortly before the deadline requests are cancelled, which answers them by what is known of them, and each connection ends with 57P01.

--- a/packages/heatherpond-postgres/src/__tests__/support/test-group.ts
+++ b/packages/heatherpond-postgres/src/__tests__/support/test-group.ts
@@ -36,6 +36,8 @@
 	readonly probe: () => void;
 	/** Changes the group record in the view of the blackboard. */
 	readonly updateGroup: (change: (record: GroupRecord) => GroupRecord) => void;
+	/** Kinds of the events of the client server, in order. */
+	readonly events: readonly string[];
 	/** Counts the rows of a table on the first database. */
 	readonly countRows: (table: string) => number;
 	readonly openClient: (options?: pg.ClientConfig) => Promise<pg.Client>;
@@ -92,6 +94,7 @@
 		signal,
 	});
 	let ids = 0;
+	const events: string[] = [];
 	const services: ClientServices = {
 		blackboard,
 		clock,
@@ -115,7 +118,9 @@
 		},
 		pools,
 		retryBudget: createRetryBudget(),
-		recordEvent: () => undefined,
+		recordEvent(kind) {
+			events.push(kind);
+		},
 		createId: () => `s${ids++}`,
 		random: () => 0.5,
 		probe: async () => true,
@@ -148,6 +153,7 @@
 		services,
 		proof,
 		admission,
+		events,
 		probe: readStatuses,
 		updateGroup(change) {
 			blackboard.update(state => ({...state, view: {...state.view, groups: {g: change(state.view.groups.g!)}}}));
--- a/packages/heatherpond-postgres/src/client-server.ts
+++ b/packages/heatherpond-postgres/src/client-server.ts
@@ -35,7 +35,8 @@
 	readonly countBufferedBytes: () => number;
 	/**
 	 * Shuts down gracefully: refuses new connections, closes idle ones, and lets requests and transactions finish until
-	 * the deadline. Resolves when every connection has closed. Later calls wait for the same shutdown.
+	 * shortly before the deadline; what is still in progress then is answered and ended. Resolves when every connection has
+	 * closed. Later calls wait for the same shutdown.
 	 */
 	readonly drain: (deadline: Deadline) => Promise<void>;
 };
@@ -46,6 +47,10 @@
 /** Milliseconds that a client has to close its side of a connection that this server has ended. */
 const CLOSE_TIMEOUT_MS = 1000;
 
+/** Part of the time for a shutdown that is left for the last answers, and the most that is, in milliseconds. */
+const ANSWER_FRACTION = 0.2;
+const MAX_ANSWER_MS = 500;
+
 /** State shared by all connections of one server. */
 type ServerState = {
 	readonly options: ClientServerOptions;
@@ -84,6 +89,11 @@
 			});
 		}
 
+		const answerMs = Math.min(MAX_ANSWER_MS, (deadline - services.clock.readNow()) * ANSWER_FRACTION);
+		await waitUntil(services.clock, deadline - answerMs, drained.signal);
+		state.sessions.forEach(session => {
+			session.end();
+		});
 		await waitUntil(services.clock, deadline, drained.signal);
 		closeAll();
 	}
--- a/packages/heatherpond-postgres/src/client-session.ts
+++ b/packages/heatherpond-postgres/src/client-session.ts
@@ -28,6 +28,8 @@
 	readonly cancel: () => void;
 	/** Ends the session as soon as no request or transaction is in progress. */
 	readonly startDrain: () => void;
+	/** Ends the session now: answers the request in progress, rolls back an open transaction, and closes the connection. */
+	readonly end: () => void;
 	/** Aborts the request or transaction in progress; called when the connection has closed. */
 	readonly stop: () => void;
 };
@@ -50,6 +52,8 @@
 	/** Whether messages up to Sync are skipped because a request that ended in Flush failed. */
 	isSkipping: boolean;
 	isDraining: boolean;
+	/** Whether the connection is closed once the request in progress has been answered. */
+	isEnding: boolean;
 	/** Cancels the timer of an idle transaction. */
 	stopIdleTimer: (() => void) | undefined;
 };
@@ -65,7 +69,7 @@
 		settings: readInitialSettings(client, services),
 	};
 	const session: Session = {
-		connection, context, runner: createRequestRunner(context), batch: [], batchBytes: 0, isSkipping: false, isDraining: false, stopIdleTimer: undefined,
+		connection, context, runner: createRequestRunner(context), batch: [], batchBytes: 0, isSkipping: false, isDraining: false, isEnding: false, stopIdleTimer: undefined,
 	};
 	services.recordEvent('callerConnected', {session: context.sessionId, team: readTeam(context)});
 	return {
@@ -81,6 +85,14 @@
 				endIfDrained(session);
 			}
 		},
+		end() {
+			session.isEnding = true;
+			if (connection.isBusy()) {
+				session.runner.cancel();
+			} else {
+				endForShutdown(session);
+			}
+		},
 		stop() {
 			session.stopIdleTimer?.();
 			session.runner.stop();
@@ -241,12 +253,19 @@
 }
 
 /** Ends a draining session. Requests that have arrived, even in part, are run first. */
-function endIfDrained({isDraining, connection, runner, batch}: Session): void {
-	if (isDraining && connection.isOpen() && batch.length === 0 && !connection.hasQueuedFrames() && !runner.isInTransaction()) {
-		connection.endWithError({severity: 'FATAL', code: SQL_STATE.adminShutdown, message: 'this host is shutting down; connect to another host'});
+function endIfDrained(session: Session): void {
+	const {isDraining, isEnding, connection, runner, batch} = session;
+	const isDrained = isDraining && batch.length === 0 && !connection.hasQueuedFrames() && !runner.isInTransaction();
+	if (connection.isOpen() && (isDrained || isEnding)) {
+		endForShutdown(session);
 	}
 }
 
+/** Closes the connection; the error also answers the requests that have arrived and were not run. */
+function endForShutdown({connection}: Session): void {
+	connection.endWithError({severity: 'FATAL', code: SQL_STATE.adminShutdown, message: 'this host is shutting down; connect to another host'});
+}
+
 async function waitForDrain({output}: ClientConnection): Promise<void> {
 	if (output.isFull()) {
 		await new Promise<void>(resolve => {
