Promote only a database that holds every commit that was acknowledged

Cause: sync_replicas was read nowhere. A promotion took the most advanced of the databases that accept work and answered within 0.3 s; a holder that drained, did not answer or had lost its registration was neither asked nor waited for, and an old primary that answered was replaced after 0.6 s by a candidate that had not caught up with it.

Change: in groups with synchronous replicas the primacy record lists the databases that may hold an acknowledged commit, and a candidate is selected only if it is shown to hold all of them (candidate-choice.ts). One that drains is promoted if it alone does, and the write that records it starts the planned promotion of the next. Groups without synchronous replicas are served as before.

--- a/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
+++ b/packages/heatherpond-fleet/src/__tests__/support/test-fleet.ts
@@ -12,6 +12,8 @@
 	isPrimary: boolean;
 	term: number;
 	position: bigint;
+	/** Receives nothing from the primary. */
+	isDeaf: boolean;
 	/** Does not respond to status requests. */
 	isUnresponsive: boolean;
 	/** Accepts connections, but does not answer status requests. */
@@ -57,6 +59,8 @@
 	readonly datagrams: RecordedDatagram[];
 	/** Log events of all hosts. */
 	readonly events: readonly string[];
+	/** Lets all replicas that receive anything catch up with a primary. */
+	readonly updateReplicas: (primary: TestDatabase) => void;
 	readonly setPromotionRequestFault: (decide: () => PromotionRequestFault) => void;
 	readonly startHost: (name: string, domain?: string) => TestHost;
 	/** Stops a host abruptly, without announcing its departure. */
@@ -77,6 +81,8 @@
 /** Milliseconds for which a database is cold after the evacuation of its failure domain. */
 export const WARM_UP_MS = 4000;
 const PROMOTE_MS = 300;
+/** Milliseconds after a promotion until the replicas have caught up. */
+const REPLICATION_MS = 100;
 /** Duration of a late promotion in milliseconds; longer than the timeout of a promotion request. */
 const LATE_PROMOTE_MS = 1300;
 const REVOCATION_MS = 5000;
@@ -94,10 +100,12 @@
 	readonly coldPerSecond?: number;
 	/** Regions in which the primary of the group belongs. */
 	readonly homes?: ReadonlySet<string>;
+	/** Number of replicas that must have received a commit before it is acknowledged. */
+	readonly syncReplicas?: number;
 };
 
 /** Creates a fleet of hosts and a group of three databases, the first of which is primary. */
-export function createTestFleet(hostNames: readonly string[], {seeds = [], limit = TEAM_LIMIT, databaseDomains = ['domain-1', 'domain-1', 'domain-1'], homes, coldPerSecond}: TestFleetOptions = {}): TestFleet {
+export function createTestFleet(hostNames: readonly string[], {seeds = [], limit = TEAM_LIMIT, databaseDomains = ['domain-1', 'domain-1', 'domain-1'], homes, coldPerSecond, syncReplicas}: TestFleetOptions = {}): TestFleet {
 	const clock = createFakeClock(1000);
 	const store = createMemoryStore({clock, latencyMs: STORE_LATENCY_MS});
 	const databases = new Map(['db-1', 'db-2', 'db-3'].map((id, index) => [id, createDatabase(id, index, databaseDomains[index]!)] as const));
@@ -147,6 +155,17 @@
 			database.isPrimary = true;
 			database.term = term;
 			writeRegistration(database);
+			clock.registerTimer(clock.readNow() + REPLICATION_MS, () => {
+				updateReplicas(database);
+			});
+		});
+	}
+
+	/** Lets all replicas that receive anything catch up with a primary. */
+	function updateReplicas(primary: TestDatabase): void {
+		[...databases.values()].filter(database => primary.isPrimary && !primary.isUnresponsive && !database.isPrimary && !database.isDeaf && !database.isUnresponsive).forEach(database => {
+			database.position = primary.position;
+			database.term = primary.term;
 		});
 	}
 
@@ -258,7 +277,7 @@
 			contracts: {
 				table: CONTRACTS_TABLE, key: 'config', parseEvacuatedDomain: key => key.startsWith('evacuate/') ? key.slice('evacuate/'.length) : undefined, parse: text => ({
 					version: Number(text), routes: new Map(), groups: new Map([[GROUP, {
-						group: GROUP, maxConnections: 20, homes, coldPerSecond, warmUpMs: WARM_UP_MS,
+						group: GROUP, maxConnections: 20, homes, coldPerSecond, syncReplicas, warmUpMs: WARM_UP_MS,
 					}]]), teams: new Map([[TEAM, {team: TEAM, ...limit}]]), teamsByKey: new Map(), idleTransactionMs: 1000,
 				}),
 			},
@@ -277,7 +296,7 @@
 		startHost(name, name.includes('/') ? domain : undefined);
 	});
 	return {
-		clock, store, databases, hosts, promotionRequests, datagrams, events, startHost,
+		clock, store, databases, hosts, promotionRequests, datagrams, events, startHost, updateReplicas,
 		setPromotionRequestFault(decide) {
 			decidePromotionRequestFault = decide;
 		},
@@ -300,6 +319,6 @@
 		upstream: {
 			id, group: GROUP, host: id, port: 1, domain, capacity: 3, isLeaving: false, claimsPrimary: index === 0, isWarmingUp: false, startedAt: 0,
 		},
-		isPrimary: index === 0, term: 1, position: BigInt(100 - index), isUnresponsive: false, isOverloaded: false, isFull: false,
+		isPrimary: index === 0, term: 1, position: BigInt(100 - index), isDeaf: false, isUnresponsive: false, isOverloaded: false, isFull: false,
 	};
 }
--- a/packages/heatherpond-fleet/src/contracts.ts
+++ b/packages/heatherpond-fleet/src/contracts.ts
@@ -17,6 +17,8 @@
 	readonly group: string;
 	/** Maximum number of connections to each database of the group, over all hosts together. */
 	readonly maxConnections: number;
+	/** Number of replicas that must have received a commit before the primary acknowledges it; absent or 0 where none must. */
+	readonly syncReplicas?: number;
 	/** Statements a second that a cold database of the group may get, over all hosts together; absent or 0 without a limit. */
 	readonly coldPerSecond?: number;
 	/** Milliseconds for which a database is cold after its failure domain is in use again. */
--- a/packages/heatherpond-fleet/src/fleet-host.ts
+++ b/packages/heatherpond-fleet/src/fleet-host.ts
@@ -25,6 +25,7 @@
 import {createPrimaryFailureDetector} from './primary-failure-detector.js';
 import {createPrimaryWork} from './primary-work.js';
 import {startPromotionController} from './promotion-controller.js';
+import {startCommitHolderRecords} from './record-commit-holders.js';
 import {createRelayClient} from './relay-client.js';
 import {createPositionRequests} from './position-requests.js';
 import {findNextPoll, PEER_POLL_INTERVAL_MS} from './poll-schedule.js';
@@ -166,6 +167,9 @@
 	startEvacuationRecords({
 		services, isPreferred: () => findDomainLeader() === undefined, pollPhase, signal,
 	});
+	startCommitHolderRecords({
+		services, isPreferred: () => findDomainLeader() === undefined, pollPhase, signal,
+	});
 	startMaintenance(host, upstreams);
 
 	function readState(): FleetState {
--- a/packages/heatherpond-fleet/src/fleet-records.ts
+++ b/packages/heatherpond-fleet/src/fleet-records.ts
@@ -38,6 +38,8 @@
 	era: z.optional(z.number()),
 	/** Absent as long as no primary of the group has been observed. */
 	primary: z.optional(z.string()),
+	/** In a group with synchronous replicas: the databases besides the primary that may hold an acknowledged commit. */
+	holders: z.optional(z.array(z.string())),
 	/** Promotion in progress; while it is set, no host sends new statements to the old primary. */
 	promotion: z.optional(promotionSchema),
 });
--- a/packages/heatherpond-fleet/src/index.ts
+++ b/packages/heatherpond-fleet/src/index.ts
@@ -42,6 +42,8 @@
 export * from './promotion-decisions.js';
 export * from './promotion-controller.js';
 export type {PromotionControllerOptions} from './promotion-controller-state.js';
+export * from './candidate-choice.js';
+export * from './commit-holders.js';
 export * from './promotion-run.js';
 export * from './registration-removal.js';
 export * from './relay-selection.js';
--- a/packages/heatherpond-fleet/src/promotion-run.ts
+++ b/packages/heatherpond-fleet/src/promotion-run.ts
@@ -3,20 +3,21 @@
  * continues from the state that an earlier run has left.
  */
 import {waitUntil, type Deadline, type Instant} from 'heatherpond-core';
-import {compareLogPositions} from 'heatherpond-session';
+import type {CandidateChoice} from './candidate-choice.js';
 import type {DatabaseStatus} from './database-control-port.js';
 import {
 	FLEET_TABLE, HOSTS_TABLE, parseRecord, PRIMACY_PREFIX, primacySchema, PROMOTION_LEASE_KEY, promotionLeaseSchema, type PrimacyRecord,
 } from './fleet-records.js';
 import type {FleetServices} from './fleet-services.js';
-import {applyPrimacy} from './apply-fleet-update.js';
 import type {Versioned} from './fleet-state.js';
 import {readHosts} from './host-list.js';
 import {LEASE_MARGIN_MS, LEASE_MS} from './primacy.js';
 import {decideRequestDeadline} from './promotion-lease.js';
+import {findPromotedDatabase, findLiveHosts, isConfirmed} from './promotion-decisions.js';
+import {writeCandidate, writeNewPrimary} from './promotion-records.js';
 import {
-	createHomeCheck, findCandidate, findPromotedDatabase, findLiveHosts, isConfirmed, type PolledDatabase,
-} from './promotion-decisions.js';
+	selectByStatus, findPersistedChoice, requestGroupStatus, stopOldPrimary, waitForCatchUp,
+} from './promotion-survey.js';
 import {formatRowKey} from './row-keys.js';
 import type {Upstream} from './upstream.js';
 import {waitForState} from './wait-for-state.js';
@@ -38,10 +39,6 @@
 };
 
 const STATUS_TIMEOUT_MS = 300;
-/** Status timeout in milliseconds of an old primary that is not expected to respond. */
-const FAILED_PRIMARY_TIMEOUT_MS = 180;
-/** Milliseconds for which the candidate may catch up with the old primary before that one is stepped down. */
-const CATCH_UP_TIMEOUT_MS = 600;
 const POLL_INTERVAL_MS = 40;
 /** Milliseconds within which a candidate must become primary before the request is repeated. */
 const TAKEOVER_TIMEOUT_MS = 2500;
@@ -51,12 +48,13 @@
 
 /** Carries out a promotion; resolves to whether the new primary was recorded. */
 export async function runPromotion(services: FleetServices, task: PromotionTask, signal: AbortSignal): Promise<boolean> {
-	const {clock, writeEvent} = services;
+	const {clock} = services;
 	const {record} = task.primacy;
 	await waitForConfirmations(services, task, signal);
 	const excluded = new Set<string>();
-	const isAtHome = createHomeCheck(services.blackboard.read(), record, services.readRegion);
+	const recordLack = createLackRecorder(services, record.group);
 	let {primacy} = task;
+	let mayCatchUp = true;
 	while (!signal.aborted && clock.readNow() < task.readDeadline() - PROMOTION_REQUEST_MARGIN_MS) {
 		const polled = await requestGroupStatus(services, task);
 		const promoted = findPromotedDatabase(polled, record);
@@ -64,14 +62,22 @@
 			return writeNewPrimary(services, primacy, promoted);
 		}
 
-		const candidate = findPersistedCandidate(services, primacy.record, excluded) ?? findCandidate(polled, record, {excluded, isAtHome})?.upstream;
-		if (!candidate) {
-			writeEvent('promotion_without_candidate', {group: record.group, surveyed: polled.length});
+		const choice: CandidateChoice = findPersistedChoice(services, primacy.record, excluded) ?? selectByStatus(services, primacy.record, polled, {excluded, mayCatchUp});
+		if (choice.kind === 'none') {
+			recordLack(polled.length, choice.unknown);
+			mayCatchUp = true;
 			excluded.clear();
 			await waitUntil(clock, clock.readNow() + POLL_INTERVAL_MS, signal);
 			continue;
 		}
 
+		const candidate: Upstream = choice.upstream;
+		mayCatchUp = !choice.mustCatchUp || await waitForCatchUp(services, task, polled, candidate);
+		if (!mayCatchUp) {
+			await waitUntil(clock, clock.readNow() + POLL_INTERVAL_MS, signal);
+			continue;
+		}
+
 		const updated = await writeCandidate(services, primacy, candidate.id);
 		if (!updated) {
 			return false;
@@ -109,34 +115,17 @@
 	return false;
 }
 
-/** Finds the candidate that an earlier run has recorded, unless it is excluded or no longer registered. */
-function findPersistedCandidate({blackboard}: FleetServices, {promotion}: PrimacyRecord, excluded: ReadonlySet<string>): Upstream | undefined {
-	const id = promotion?.candidate;
-	return id === undefined || excluded.has(id) ? undefined : blackboard.read().upstreams.get(id);
-}
-
-/** Records the candidate before the promotion request is sent; resolves to `undefined` when another host has taken over the promotion. */
-async function writeCandidate(services: FleetServices, primacy: Versioned<PrimacyRecord>, candidate: string): Promise<Versioned<PrimacyRecord> | undefined> {
-	const {record} = primacy;
-	if (record.promotion?.candidate === candidate) {
-		return primacy;
-	}
-
-	return writePrimacy(services, primacy, {...record, promotion: {...record.promotion!, candidate}});
-}
-
-async function writePrimacy(services: FleetServices, {record: {group}, version}: Versioned<PrimacyRecord>, record: PrimacyRecord): Promise<Versioned<PrimacyRecord> | undefined> {
-	const {store, clock, blackboard, sendPrimacy} = services;
-	const row = {table: FLEET_TABLE, key: formatRowKey(PRIMACY_PREFIX, group)};
-	const result = await store.writeRows({expected: [{...row, version}], puts: [{...row, value: JSON.stringify(record)}], removed: []}, clock.readNow() + STORE_TIMEOUT_MS);
-	if (result.kind === 'conflict') {
-		return undefined;
-	}
+/** Creates the function that logs the lack of a candidate, whenever the databases whose logs are not known have changed. */
+function createLackRecorder({writeEvent}: FleetServices, group: string): (surveyed: number, unknown: readonly string[]) => void {
+	let before = '';
+	return (surveyed, unknown) => {
+		const text = unknown.join(',');
+		if (text === '' || text !== before) {
+			writeEvent('promotion_without_candidate', {group, surveyed, unknown: text});
+		}
 
-	const written = {record, version: result.version};
-	blackboard.update(state => applyPrimacy(state, written));
-	sendPrimacy(written);
-	return written;
+		before = text;
+	};
 }
 
 /** Waits until no host relies on the old primary: all have confirmed the promotion, or all leases have expired. */
@@ -154,40 +143,6 @@
 	});
 }
 
-/** Requests the status of every database of the group, including the old primary; omits those that do not respond. */
-async function requestGroupStatus({clock, blackboard, databases}: FleetServices, {primacy: {record}, oldPrimary}: PromotionTask): Promise<readonly PolledDatabase[]> {
-	const now = clock.readNow();
-	const readDeadline = ({id}: Upstream): Deadline => now + (id === record.primary && !record.promotion?.isPlanned ? FAILED_PRIMARY_TIMEOUT_MS : STATUS_TIMEOUT_MS);
-	const members = [...blackboard.read().upstreams.values()].filter(({group}) => group === record.group);
-	const all = oldPrimary && !members.some(({id}) => id === oldPrimary.id) ? [...members, oldPrimary] : members;
-	const responses = await Promise.allSettled(all.map(async upstream => ({upstream, status: await databases.requestStatus(upstream, readDeadline(upstream))})));
-	return responses.filter(response => response.status === 'fulfilled').map(({value}) => value);
-}
-
-/** Lets the candidate catch up with an old primary that still responds, then demotes the old primary to a replica. */
-async function stopOldPrimary(services: FleetServices, {primacy: {record}}: PromotionTask, polled: readonly PolledDatabase[], candidate: Upstream): Promise<void> {
-	const {clock, databases, writeEvent} = services;
-	const old = polled.find(({upstream, status}) => upstream.id === record.primary && status.isPrimary);
-	if (!old) {
-		return;
-	}
-
-	const deadline: Deadline = clock.readNow() + CATCH_UP_TIMEOUT_MS;
-	try {
-		let {point} = polled.find(({upstream}) => upstream.id === candidate.id)?.status ?? await databases.requestStatus(candidate, clock.readNow() + STATUS_TIMEOUT_MS);
-		while (compareLogPositions(point, old.status.point) < 0 && clock.readNow() < deadline) {
-			await waitUntil(clock, clock.readNow() + (POLL_INTERVAL_MS / 2), new AbortController().signal);
-			({point} = await databases.requestStatus(candidate, clock.readNow() + STATUS_TIMEOUT_MS));
-		}
-
-		await databases.requestStepDown(old.upstream, record.term + 1, clock.readNow() + STATUS_TIMEOUT_MS);
-		writeEvent('primary_stepped_down', {group: record.group, database: old.upstream.id, caught_up: compareLogPositions(point, old.status.point) >= 0});
-	} catch (error) {
-		// No host holds a lease on the old primary any more; it can be demoted once it is reachable.
-		writeEvent('step_down_failed', {group: record.group, database: old.upstream.id, reason: String(error)});
-	}
-}
-
 /** Whether this host still carries out a promotion under its lease, by the rows of the store. */
 type PromotionOwnership = 'kept' | 'lost' | 'unknown';
 
@@ -260,16 +215,3 @@
 
 	return undefined;
 }
-
-/** Records the new primary and ends the promotion; resolves to whether no other host was first. */
-async function writeNewPrimary(services: FleetServices, primacy: Versioned<PrimacyRecord>, {upstream, status}: PolledDatabase): Promise<boolean> {
-	const {group} = primacy.record;
-	const written = await writePrimacy(services, primacy, {
-		group, term: status.term, primary: upstream.id, era: services.blackboard.read().storeEra,
-	});
-	services.writeEvent('promotion_recorded', {
-		group, database: upstream.id, term: status.term, outcome: written ? 'done' : 'conflict',
-	});
-	services.refreshFleet();
-	return written !== undefined;
-}
