Specification of synchronous replicas; list all holders when a promotion begins

The model has logs, crashes, departures, drains and promotions that choose by what answers; its rules are those of the production code. It found a hole: a replica that registers and takes part in an acknowledged commit right before a promotion begins was not listed, as the list is kept between promotions only; if it departed during the promotion it was forgotten. The write that begins a promotion lists all holders now.

--- a/packages/heatherpond-fleet/src/due-promotions.ts
+++ b/packages/heatherpond-fleet/src/due-promotions.ts
@@ -1,5 +1,6 @@
 /** Starts the promotions that have become due. */
 import type {Instant} from 'heatherpond-core';
+import {findCommitHolders, readSyncReplicas} from './commit-holders.js';
 import type {PrimacyRecord} from './fleet-records.js';
 import type {FleetState, Versioned} from './fleet-state.js';
 import {createHolder, createOwnLease} from './own-promotion-lease.js';
@@ -49,6 +50,8 @@
 	const promotionLease = createOwnLease(controller, state);
 	const record: PrimacyRecord = {
 		...primacy.record,
+		// The list is kept between promotions only, and a replica that has registered since may depart during this one.
+		...readSyncReplicas(state, primacy.record.group) > 0 && {holders: [...findCommitHolders(state, primacy.record)]},
 		promotion: {
 			id: `${identity.incarnation}-${primacy.version}`, isPlanned: cause.isPlanned, reason: cause.reason, holder: createHolder(identity),
 		},
