--- a/packages/heatherpond-session/src/client-session.ts
+++ b/packages/heatherpond-session/src/client-session.ts
@@ -1,16 +1,17 @@
 /** Session of one client connection: runs its statements in order and produces one reply for each. */
 import type {Instant} from 'heatherpond-core';
 import {createAccessRefusal} from './access-refusal.js';
-import {BUSY_RETRY_AFTER_MS, computeSpreadRetry} from './attempt-rules.js';
+import {computeSpreadRetry} from './attempt-rules.js';
 import {createKeyCheck, endTransactionOfOtherTeam} from './key-ownership.js';
 import {createRefusal, type Refusal} from './refusal.js';
+import {checkAcceptsWork, checkAdmission, checkPhaseUnchanged} from './operation-checks.js';
 import type {RunningStatement} from './running-statement.js';
-import {createRefusedError, RefusedError} from './session-error.js';
+import {RefusedError} from './session-error.js';
 import {isOrphaned, recordUnaskedEnd, removeKnownEnd} from './sent-statements.js';
 import type {SessionReply} from './session-reply.js';
 import type {SessionAccess, SessionServices} from './session-services.js';
 import {
-	applyStatement, createSessionState, readTransactionState, type OpenTransaction, type SessionPhase, type SessionState, type StatementPlan,
+	applyStatement, createSessionState, readTransactionState, type OpenTransaction, type StatementPlan,
 } from './session-state.js';
 import {
 	runFirstTransactionStatement, runSingleStatement, type AttemptContext,
@@ -192,33 +193,6 @@
 	};
 }
 
-async function checkAdmission({admission}: SessionServices, team: string, state: SessionState): Promise<void> {
-	const retryAfterMs = await admission.admit(team);
-	if (retryAfterMs > 0) {
-		state.phase = {kind: 'idle'};
-		throw createRefusedError(createRefusal('busy', 'the team is over its rate', retryAfterMs));
-	}
-}
-
-/**
- * Checks that the session may still use databases; only a transaction that is open goes on.
- *
- * @throws RefusedError when the host stops
- */
-function checkAcceptsWork({state, services, abortController}: SessionContext): void {
-	if (abortController.signal.aborted && state.phase.kind !== 'open') {
-		state.phase = {kind: 'idle'};
-		throw createRefusedError(createRefusal('busy', 'the host is shutting down', computeSpreadRetry(BUSY_RETRY_AFTER_MS, services.random)));
-	}
-}
-
-/** Refuses a statement whose session or transaction was ended while the statement was waiting for admission or a connection. */
-function checkPhaseUnchanged({state, abortController}: SessionContext, phase: SessionPhase): void {
-	if (abortController.signal.aborted || state.phase !== phase) {
-		throw createRefusedError(createRefusal('aborted', 'the transaction was rolled back before its first statement completed'));
-	}
-}
-
 /** Runs a statement that has no connection yet: one outside a transaction, or the first one of a transaction. */
 async function runOutsideTransaction(session: SessionContext, running: RunningStatement): Promise<SessionReply> {
 	const {state, services, abortController, caller} = session;
