--- a/packages/heatherpond-fleet/src/evacuation-records.ts
+++ b/packages/heatherpond-fleet/src/evacuation-records.ts
@@ -8,22 +8,13 @@
 import type {FleetState} from './fleet-state.js';
 import {findNextPoll, PEER_POLL_INTERVAL_MS} from './poll-schedule.js';
 import {formatRowKey} from './row-keys.js';
+import type {RecordWriterOptions} from './record-writer-options.js';
 import {StoreError} from './store-port.js';
 
-/** Dependencies of the records. */
-export type EvacuationRecordsOptions = {
-	readonly services: FleetServices;
-	/** Whether this host is one of those that write the records. */
-	readonly isPreferred: () => boolean;
-	/** An instant of the schedule of this host's polls. */
-	readonly pollPhase: Instant;
-	readonly signal: AbortSignal;
-};
-
 const STORE_TIMEOUT_MS = 600;
 
 /** Starts to write the records, until the signal aborts. */
-export function startEvacuationRecords({services, isPreferred, pollPhase, signal}: EvacuationRecordsOptions): void {
+export function startEvacuationRecords({services, isPreferred, pollPhase, signal}: RecordWriterOptions): void {
 	const {blackboard, clock, store, refreshFleet, writeEvent} = services;
 
 	async function writeDueRecords(): Promise<void> {
--- a/packages/heatherpond-fleet/src/record-commit-holders.ts
+++ b/packages/heatherpond-fleet/src/record-commit-holders.ts
@@ -3,7 +3,7 @@
  * A replica is listed as soon as it is registered. One that has departed stays listed until another replica has caught up with the
  * primary: until then it may hold what no other replica does.
  */
-import {startLoop, type Instant} from 'heatherpond-core';
+import {startLoop} from 'heatherpond-core';
 import {
 	findCommitHolders, findDepartedHolders, findReplicas, isCaughtUp, readSyncReplicas,
 } from './commit-holders.js';
@@ -13,22 +13,13 @@
 import {findNextPoll, PEER_POLL_INTERVAL_MS} from './poll-schedule.js';
 import {isAffirmed} from './primacy.js';
 import {writePrimacy} from './promotion-records.js';
+import type {RecordWriterOptions} from './record-writer-options.js';
 import {StoreError} from './store-port.js';
 
-/** Dependencies of the records. */
-export type CommitHoldersOptions = {
-	readonly services: FleetServices;
-	/** Whether this host is one of those that write the records. */
-	readonly isPreferred: () => boolean;
-	/** An instant of the schedule of this host's polls. */
-	readonly pollPhase: Instant;
-	readonly signal: AbortSignal;
-};
-
 const STATUS_TIMEOUT_MS = 300;
 
 /** Starts to keep the lists, until the signal aborts. */
-export function startCommitHolderRecords({services, isPreferred, pollPhase, signal}: CommitHoldersOptions): void {
+export function startCommitHolderRecords({services, isPreferred, pollPhase, signal}: RecordWriterOptions): void {
 	const {blackboard, clock} = services;
 	const loop = startLoop(clock, async () => {
 		const state = blackboard.read();
