--- a/packages/heatherpond-fleet/src/evacuation-records.ts
+++ b/packages/heatherpond-fleet/src/evacuation-records.ts
@@ -4,7 +4,6 @@
  */
 import {startLoop, type Instant} from 'heatherpond-core';
 import {EVACUATION_PREFIX, FLEET_TABLE, type EvacuationRecord} from './fleet-records.js';
-import type {FleetServices} from './fleet-services.js';
 import type {FleetState} from './fleet-state.js';
 import {findNextPoll, PEER_POLL_INTERVAL_MS} from './poll-schedule.js';
 import {formatRowKey} from './row-keys.js';
