--- a/packages/heatherpond-session/src/client-session.ts
+++ b/packages/heatherpond-session/src/client-session.ts
@@ -41,7 +41,7 @@
 	readonly abort: (reason: string) => void;
 	/** Refuses the statement in progress unless it has been sent to a database, and all later ones. */
 	readonly stopWork: () => void;
-	/** Ends the statement in progress even if it has been sent, so that its reply follows at once; calls `stopWork` first. */
+	/** Ends the statement in progress even if it has been sent, so that its reply follows at once, and refuses all later ones. */
 	readonly endStatement: () => void;
 	/** Ends the session, cancels its waits and rolls back an open transaction. */
 	readonly stop: () => void;
