--- a/review/standins-3/databases.js
+++ b/review/standins-3/databases.js
@@ -102,7 +102,7 @@
 		const isClient = id !== '-';
 		if (isClient) {
 			ran.push({
-				at: Date.now(), id, text: rest, database: database.id, term: database.term, isPrimary: database.isPrimary, team: session.team,
+				at: Date.now(), id, text: rest, database: database.id, term: database.term, isPrimary: database.isPrimary, team: session.team, isInTransaction: session.transaction !== undefined,
 			});
 		}
 
